--- /dev/null
+++ b/depot/memory_test.go
@@ -0,0 +1,112 @@
+package depot_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"chervilhollow/depot"
+	"chervilhollow/tide"
+)
+
+var start = time.Date(2026, 3, 1, 6, 0, 0, 0, time.UTC)
+
+// Guards against two writers that both succeed from one version.
+func TestMemorySwap(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	m := depot.NewMemory(tide.NewManual(start))
+	v, err := m.Swap(ctx, "a", 0, []byte("1"), 0)
+	is.NoErr(err)
+	_, err = m.Swap(ctx, "a", 0, []byte("2"), 0)
+	is.True(errors.Is(err, depot.ErrConflict))
+	_, err = m.Swap(ctx, "a", v, []byte("2"), 0)
+	is.NoErr(err)
+	is.True(errors.Is(m.Delete(ctx, "a", v), depot.ErrConflict))
+	e, err := m.Get(ctx, "a")
+	is.NoErr(err)
+	is.Equal(string(e.Value()), "2")
+	_, err = m.Swap(ctx, "b", 0, make([]byte, depot.MaxValue+1), 0)
+	is.True(errors.Is(err, depot.ErrValueTooLarge))
+}
+
+// Guards against keys that outlive their lease, and against a lease that ends
+// although it was kept alive.
+func TestMemoryLease(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	clock := tide.NewManual(start)
+	m := depot.NewMemory(clock)
+	lease, err := m.Grant(ctx, 10*time.Second)
+	is.NoErr(err)
+	_, err = m.Swap(ctx, "member/a", 0, []byte("a"), lease)
+	is.NoErr(err)
+	clock.Advance(9 * time.Second)
+	is.NoErr(m.KeepAlive(ctx, lease))
+	clock.Advance(9 * time.Second)
+	e, err := m.Get(ctx, "member/a")
+	is.NoErr(err)
+	is.True(e.Exists())
+	clock.Advance(time.Second)
+	e, err = m.Get(ctx, "member/a")
+	is.NoErr(err)
+	is.True(!e.Exists())
+	is.True(errors.Is(m.KeepAlive(ctx, lease), depot.ErrLeaseEnded))
+}
+
+// Guards against a watch that misses the end of a lease or a change, and
+// against one that counts more than once.
+func TestMemoryWatch(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	clock := tide.New()
+	m := depot.NewMemory(clock, depot.WithRetained(4))
+	lease, err := m.Grant(ctx, 50*time.Millisecond)
+	is.NoErr(err)
+	v, err := m.Swap(ctx, "member/a", 0, []byte("a"), lease)
+	is.NoErr(err)
+	events, reached, err := m.Watch(ctx, "member/", v, 5*time.Second)
+	is.NoErr(err)
+	is.Equal(len(events), 1)
+	is.True(events[0].Deleted())
+	is.Equal(m.Calls(depot.CallWatch), int64(1))
+	events, _, err = m.Watch(ctx, "member/", reached, time.Millisecond)
+	is.NoErr(err)
+	is.Equal(len(events), 0)
+	m.Compact()
+	_, _, err = m.Watch(ctx, "member/", v, time.Millisecond)
+	is.True(errors.Is(err, depot.ErrCompacted))
+}
+
+// Guards against fault switches that report the wrong error class: an
+// uncertain write must have had its effect here, an unavailable one must not.
+func TestMemoryFaults(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	m := depot.NewMemory(tide.NewManual(start))
+	m.LoseAnswers(1)
+	_, err := m.Swap(ctx, "a", 0, []byte("1"), 0)
+	is.True(errors.Is(err, depot.ErrUncertain))
+	e, err := m.Get(ctx, "a")
+	is.NoErr(err)
+	is.True(e.Exists())
+	m.SetOutage(true)
+	_, err = m.Swap(ctx, "b", 0, []byte("1"), 0)
+	is.True(errors.Is(err, depot.ErrUnavailable))
+	m.SetOutage(false)
+	e, err = m.Get(ctx, "b")
+	is.NoErr(err)
+	is.True(!e.Exists())
+	m.SetSlow(time.Hour)
+	short, cancel := context.WithTimeout(ctx, time.Millisecond)
+	defer cancel()
+	_, err = m.Swap(short, "b", 0, []byte("1"), 0)
+	is.True(errors.Is(err, depot.ErrUncertain))
+	m.SetSlow(0)
+	e, err = m.Get(ctx, "b")
+	is.NoErr(err)
+	is.True(e.Exists())
+}
