--- /dev/null
+++ b/roster/hosts_test.go
@@ -0,0 +1,59 @@
+package roster_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"chervilhollow/order"
+	"chervilhollow/roster"
+	"chervilhollow/tide"
+)
+
+const hostsAnswer = `{
+  "workers": [
+    {"id": "w2", "url": "http://127.0.0.1:2", "domain": "east", "rack": "r1", "cores": 1.5, "memory": 1024, "accelerators": 1, "slots": 8, "connections": 64, "fenced": true, "state": "leaving"},
+    {"id": "w1", "url": "http://127.0.0.1:1", "domain": "east", "rack": "r1", "cores": 64, "memory": 2048, "slots": 8, "connections": 64, "state": "live"},
+    {"id": "w3", "url": "http://127.0.0.1:3", "domain": "west", "rack": "r1", "cores": 64, "memory": 2048, "slots": 8, "connections": 64, "state": "live"}
+  ],
+  "entry_hosts": [{"address": "10.0.0.1", "domain": "east"}, {"address": "10.0.0.2:7000", "domain": "west"}]
+}`
+
+// Guards against a list that is lost or misread when the platform does not
+// answer, and against a host that counts as gone before any list was read.
+func TestHosts(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	down := false
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if down {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		_, _ = w.Write([]byte(hostsAnswer))
+	}))
+	defer server.Close()
+	clock := tide.NewManual(time.Date(2026, 3, 1, 6, 0, 0, 0, time.UTC))
+	hosts := roster.NewHosts(server.URL, clock)
+	is.True(hosts.Shows("10.0.0.9:1"))
+	is.NoErr(hosts.Fetch(ctx))
+	down = true
+	clock.Advance(5 * time.Second)
+	is.True(hosts.Fetch(ctx) != nil)
+	is.Equal(hosts.Age(), 5*time.Second)
+	is.Equal(len(hosts.Workers()), 3)
+	is.Equal(hosts.Groups(), []order.GroupID{"east/r1", "west/r1"})
+	is.True(!hosts.Leaving("w1"))
+	is.True(hosts.Leaving("w2"))
+	is.True(hosts.Leaving("w9"))
+	is.Equal(hosts.Workers()[1].Size().Cores(), order.MilliCores(1500))
+	is.True(hosts.Workers()[1].Fenced())
+	is.True(hosts.Shows("10.0.0.1:7001"))
+	is.True(hosts.Shows("10.0.0.2:7000"))
+	is.True(!hosts.Shows("10.0.0.2:7001"))
+	is.True(!hosts.Shows("10.0.0.9:1"))
+}
