--- a/depot/faults.go
+++ b/depot/faults.go
@@ -68,7 +68,8 @@
 }
 
 // SetSlow delays each call. A write whose caller gives up during the delay
-// takes effect all the same and returns ErrUncertain.
+// returns ErrUncertain and takes effect when the delay is over, possibly after
+// the caller has read the key.
 func (m *Memory) SetSlow(delay time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -116,18 +117,19 @@
 		return fmt.Errorf("%s: %w: %w", kind, ErrUnavailable, err)
 	}
 	delay := m.arrive(kind)
+	due := m.clock.Now().Add(delay)
 	gaveUp := m.sleep(ctx, delay)
-	if gaveUp && !kind.Writes() {
-		return fmt.Errorf("%s: %w: %w", kind, ErrUnavailable, ctx.Err())
-	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.expire()
-	err := m.execute(kind, do)
-	if gaveUp {
-		return fmt.Errorf("%s: %w: %w", kind, ErrUncertain, ctx.Err())
+	m.settle()
+	switch {
+	case !gaveUp:
+		return m.execute(kind, do)
+	case kind.Writes():
+		m.late = append(m.late, lateWrite{due: due, do: do})
+		m.wake()
 	}
-	return err
+	return fmt.Errorf("%s: %w: %w", kind, lostError(kind), ctx.Err())
 }
 
 func (m *Memory) arrive(kind Call) time.Duration {
--- a/depot/memory.go
+++ b/depot/memory.go
@@ -26,6 +26,7 @@
 		leases    map[LeaseID]*memoryLease
 		lastLease LeaseID
 		changed   chan struct{}
+		late      []lateWrite
 		faults    faults
 		counts    map[Call]int64
 	}
@@ -38,6 +39,12 @@
 		lease LeaseID
 	}
 
+	// lateWrite is a write whose caller gave up before it was executed.
+	lateWrite struct {
+		due time.Time
+		do  func() error
+	}
+
 	memoryLease struct {
 		ttl     time.Duration
 		expires time.Time
@@ -232,8 +239,23 @@
 	}
 }
 
-// expire ends the leases whose time is over, oldest lease first. Every call
-// and every waiting watch runs it, so no goroutine of its own is needed.
+// settle executes the late writes that are due and ends the leases whose time
+// is over. Every call and every waiting watch runs it, so no goroutine of its
+// own is needed.
+func (m *Memory) settle() {
+	now := m.clock.Now()
+	waiting := m.late[:0]
+	for _, write := range m.late {
+		if write.due.After(now) {
+			waiting = append(waiting, write)
+			continue
+		}
+		_ = write.do()
+	}
+	m.late = waiting
+	m.expire()
+}
+
 func (m *Memory) expire() {
 	now := m.clock.Now()
 	var ended []LeaseID
--- a/depot/memory_test.go
+++ b/depot/memory_test.go
@@ -100,12 +100,25 @@
 	e, err = m.Get(ctx, "b")
 	is.NoErr(err)
 	is.True(!e.Exists())
-	m.SetSlow(time.Hour)
+}
+
+// Guards against a slow store that only ever loses writes before the caller
+// reads: a real one may execute the write after that.
+func TestMemoryLateWrite(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	clock := tide.NewManual(start)
+	m := depot.NewMemory(clock)
+	m.SetSlow(3 * time.Second)
 	short, cancel := context.WithTimeout(ctx, time.Millisecond)
 	defer cancel()
-	_, err = m.Swap(short, "b", 0, []byte("1"), 0)
+	_, err := m.Swap(short, "b", 0, []byte("1"), 0)
 	is.True(errors.Is(err, depot.ErrUncertain))
 	m.SetSlow(0)
+	e, err := m.Get(ctx, "b")
+	is.NoErr(err)
+	is.True(!e.Exists())
+	clock.Advance(3 * time.Second)
 	e, err = m.Get(ctx, "b")
 	is.NoErr(err)
 	is.True(e.Exists())
--- a/depot/memory_watch.go
+++ b/depot/memory_watch.go
@@ -19,7 +19,7 @@
 	look := func() error {
 		var err error
 		events, reached, err = m.changesAfter(prefix, after)
-		changed, due = m.changed, m.nextExpiry()
+		changed, due = m.changed, m.nextChange()
 		return err
 	}
 	if err := m.call(ctx, CallWatch, look); err != nil {
@@ -59,7 +59,7 @@
 func (m *Memory) again(look func() error) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.expire()
+	m.settle()
 	if m.faults.outage {
 		return fmt.Errorf("watch: %w", ErrUnavailable)
 	}
@@ -85,13 +85,22 @@
 	return events, m.version, nil
 }
 
-// nextExpiry returns when the next lease ends, or the zero time.
-func (m *Memory) nextExpiry() time.Time {
+// nextChange returns when the next lease ends or late write is due, or the
+// zero time.
+func (m *Memory) nextChange() time.Time {
 	var next time.Time
 	for _, held := range m.leases {
-		if next.IsZero() || held.expires.Before(next) {
-			next = held.expires
-		}
+		next = earlier(next, held.expires)
+	}
+	for _, write := range m.late {
+		next = earlier(next, write.due)
+	}
+	return next
+}
+
+func earlier(next, candidate time.Time) time.Time {
+	if next.IsZero() || candidate.Before(next) {
+		return candidate
 	}
 	return next
 }
