--- a/sheet/config.go
+++ b/sheet/config.go
@@ -29,13 +29,16 @@
 		domains []order.DomainName
 	}
 
+	// Source tells who took a failure domain out.
+	Source uint8
+
 	// Config is one revision of the configuration. It is never changed after
 	// it was built.
 	Config struct {
 		revision order.Revision
 		teams    map[order.TeamName]Team
 		keys     map[string]Key
-		closed   map[order.DomainName]bool
+		closed   map[order.DomainName]Source
 	}
 )
 
@@ -46,6 +49,14 @@
 	KeyWithdrawn
 )
 
+// Sources of a change to a failure domain. The daily sheet does not bring back
+// a domain that an operator took out, because it may have been exported
+// before.
+const (
+	SourceSheet Source = iota + 1
+	SourceOperator
+)
+
 // HashKey returns the stored form of a key's secret.
 func HashKey(secret string) string {
 	sum := sha256.Sum256([]byte(secret))
@@ -57,6 +68,24 @@
 	return Team{name: name, share: share, limit: limit, domains: domains}
 }
 
+// WithShare returns a copy with another share.
+func (t Team) WithShare(share float64) Team {
+	t.share = share
+	return t
+}
+
+// WithLimit returns a copy with another limit.
+func (t Team) WithLimit(limit int) Team {
+	t.limit = limit
+	return t
+}
+
+// WithDomains returns a copy with other failure domains; none means all.
+func (t Team) WithDomains(domains ...order.DomainName) Team {
+	t.domains = domains
+	return t
+}
+
 // Name returns the name of the team.
 func (t Team) Name() order.TeamName { return t.name }
 
@@ -108,7 +137,7 @@
 		revision: revision,
 		teams:    make(map[order.TeamName]Team),
 		keys:     make(map[string]Key),
-		closed:   make(map[order.DomainName]bool),
+		closed:   make(map[order.DomainName]Source),
 	}
 }
 
@@ -133,10 +162,11 @@
 	return n
 }
 
-// WithDomain returns a copy with the failure domain open or closed.
+// WithDomain returns a copy with the failure domain opened or closed by an
+// operator.
 func (c *Config) WithDomain(name order.DomainName, open bool) *Config {
 	n := c.copy()
-	n.closed[name] = !open
+	n.setDomain(name, open, SourceOperator)
 	return n
 }
 
@@ -171,21 +201,29 @@
 
 // DomainOpen reports whether work may start in the failure domain. A domain
 // that the configuration does not name is open.
-func (c *Config) DomainOpen(name order.DomainName) bool { return !c.closed[name] }
+func (c *Config) DomainOpen(name order.DomainName) bool { return c.closed[name] == 0 }
+
+// ClosedBy returns who took the failure domain out, or zero.
+func (c *Config) ClosedBy(name order.DomainName) Source { return c.closed[name] }
 
 // ClosedDomains returns the failure domains that operators took out.
 func (c *Config) ClosedDomains() []order.DomainName {
-	var names []order.DomainName
-	for name, closed := range c.closed {
-		if closed {
-			names = append(names, name)
-		}
+	names := make([]order.DomainName, 0, len(c.closed))
+	for name := range c.closed {
+		names = append(names, name)
 	}
 	sort.Slice(names, func(i, j int) bool { return names[i] < names[j] })
 	return names
 }
 
-// Authenticate returns the team that the secret belongs to.
+// Key returns the key with the given hash.
+func (c *Config) Key(hash string) (Key, bool) {
+	k, ok := c.keys[hash]
+	return k, ok
+}
+
+// Authenticate returns the team that the secret belongs to. The keys of a
+// removed team count as withdrawn.
 func (c *Config) Authenticate(secret string) (order.TeamName, KeyState) {
 	key, ok := c.keys[HashKey(secret)]
 	switch {
@@ -194,6 +232,9 @@
 	case key.withdrawn:
 		return key.team, KeyWithdrawn
 	}
+	if _, ok := c.teams[key.team]; !ok {
+		return key.team, KeyWithdrawn
+	}
 	return key.team, KeyValid
 }
 
@@ -205,8 +246,15 @@
 	for hash, k := range c.keys {
 		n.keys[hash] = k
 	}
-	for name, closed := range c.closed {
-		n.closed[name] = closed
+	for name, source := range c.closed {
+		n.closed[name] = source
 	}
 	return n
 }
+
+func (c *Config) setDomain(name order.DomainName, open bool, source Source) {
+	delete(c.closed, name)
+	if !open {
+		c.closed[name] = source
+	}
+}
