--- a/order/ids.go
+++ b/order/ids.go
@@ -124,3 +124,13 @@
 	address, _, _ := strings.Cut(string(m), "/")
 	return address
 }
+
+// Partition returns the request partition of the task.
+func (t TaskID) Partition() PartitionID {
+	team, rest, _ := strings.Cut(string(t), "/")
+	end := strings.LastIndex(rest, "/")
+	if end < 0 {
+		end = len(rest)
+	}
+	return RequestPartition(TeamName(team), RequestID(rest[:end]))
+}
--- /dev/null
+++ b/tide/tide_test.go
@@ -0,0 +1,57 @@
+package tide_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+
+	"chervilhollow/tide"
+)
+
+var start = time.Date(2026, 12, 4, 9, 0, 0, 0, time.UTC)
+
+// Guards against timers that fire early, late or out of order under a test's
+// clock, which would hide faults in the parts that use them.
+func TestManualFiresInOrder(t *testing.T) {
+	is := is.New(t)
+	clock := tide.NewManual(start)
+	late := clock.After(2 * time.Second)
+	early := clock.After(time.Second)
+	clock.Advance(time.Second)
+	is.Equal(<-early, start.Add(time.Second))
+	select {
+	case <-late:
+		t.Fatal("timer fired early")
+	default:
+	}
+	clock.Advance(time.Second)
+	is.Equal(<-late, start.Add(2*time.Second))
+}
+
+// Guards against a slow subscriber that piles up ticks.
+func TestManualDropsUnreadTicks(t *testing.T) {
+	is := is.New(t)
+	clock := tide.NewManual(start)
+	s := clock.Subscribe(time.Second)
+	clock.Advance(10 * time.Second)
+	is.Equal(<-s.C(), start.Add(time.Second))
+	select {
+	case <-s.C():
+		t.Fatal("second tick was kept")
+	default:
+	}
+	s.Close()
+	clock.Advance(time.Second)
+	is.Equal(len(s.C()), 0)
+}
+
+// Guards against a subscription that leaves its goroutine behind.
+func TestCloseWaits(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	s := tide.New().Subscribe(time.Millisecond)
+	<-s.C()
+	s.Close()
+	s.Close()
+}
