Add the links between processes

Processes exchange messages over one WebSocket link per pair, so that a message never waits for a connection to be dialed per call. The sender never blocks: a full ring, an expired or oversized message and a lost link are counted by reason. The WebSocket library flushes every message, so the connection below it joins the writes of a batch.

--- /dev/null
+++ b/ferry/ferry_test.go
@@ -0,0 +1,344 @@
+package ferry_test
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/coder/websocket"
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+	"go.uber.org/goleak"
+
+	"chervilhollow/ferry"
+	"chervilhollow/gauge"
+	"chervilhollow/order"
+	"chervilhollow/tide"
+)
+
+type (
+	inbound struct {
+		from order.MemberID
+		msg  order.Msg
+	}
+
+	end struct {
+		node *ferry.Node
+		id   order.MemberID
+		reg  *gauge.Registry
+		got  chan inbound
+		up   chan bool
+	}
+)
+
+const secret = "peer secret of the test"
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func listen(t testing.TB, address string) net.Listener {
+	t.Helper()
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return l
+}
+
+func newEnd(t testing.TB, l net.Listener, secret string, opts ...ferry.Option) *end {
+	t.Helper()
+	e := &end{
+		id:  order.NewMemberID(l.Addr().String()),
+		reg: gauge.New(zerolog.Nop()),
+		got: make(chan inbound, 1<<16),
+		up:  make(chan bool, 64),
+	}
+	e.node = ferry.New(e.id, order.RolePlacer, "east", secret, tide.New(), e.reg, zerolog.Nop(), opts...)
+	e.node.OnMessage(func(from order.MemberID, m order.Msg) { e.got <- inbound{from, m} })
+	e.node.OnLink(func(_ order.MemberID, up bool) { e.up <- up })
+	go e.node.Serve(l)
+	t.Cleanup(e.node.Close)
+	return e
+}
+
+func (e *end) next(t testing.TB) inbound {
+	t.Helper()
+	select {
+	case in := <-e.got:
+		return in
+	case <-time.After(10 * time.Second):
+		t.Fatal("no message arrived")
+		return inbound{}
+	}
+}
+
+func eventually(t testing.TB, what string, cond func() bool) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); {
+		if cond() {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	t.Fatal("not seen: " + what)
+}
+
+// cutListener can break the connections that it accepted.
+type cutListener struct {
+	net.Listener
+	mu    sync.Mutex
+	conns []net.Conn
+}
+
+func (l *cutListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if err == nil {
+		l.conns = append(l.conns, c)
+	}
+	return c, err
+}
+
+func (l *cutListener) cut() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, c := range l.conns {
+		c.Close()
+	}
+	l.conns = nil
+}
+
+func status(n uint64) order.Msg { return order.StatusMsg{}.WithTeam("toys").WithSequence(n) }
+
+func sequence(m order.Msg) uint64 { return m.(order.StatusMsg).Sequence() }
+
+// Guards against messages that are lost or reordered on a link, and against
+// answers that need a second dial.
+func TestMessagesArriveInOrderBothWays(t *testing.T) {
+	is := is.New(t)
+	a := newEnd(t, listen(t, "127.0.0.1:0"), secret)
+	b := newEnd(t, listen(t, "127.0.0.1:0"), secret)
+	for i := range uint64(1000) {
+		is.NoErr(a.node.Send(b.id, status(i)))
+	}
+	for i := range uint64(1000) {
+		in := b.next(t)
+		is.Equal(in.from, a.id)
+		is.Equal(sequence(in.msg), i)
+	}
+	is.NoErr(b.node.Send(a.id, status(7)))
+	is.Equal(sequence(a.next(t).msg), uint64(7))
+	is.Equal(b.reg.Counter("ferry.links_opened"), int64(1))
+}
+
+// Guards against a message to the own process that goes over the network.
+func TestLoopback(t *testing.T) {
+	is := is.New(t)
+	a := newEnd(t, listen(t, "127.0.0.1:0"), secret)
+	is.NoErr(a.node.Send(a.id, status(1)))
+	is.Equal(a.next(t).from, a.id)
+	is.Equal(a.reg.Counter("ferry.links_opened"), int64(0))
+}
+
+// Guards against a pair that never talks again after its link broke.
+func TestReconnect(t *testing.T) {
+	is := is.New(t)
+	a := newEnd(t, listen(t, "127.0.0.1:0"), secret)
+	l := listen(t, "127.0.0.1:0")
+	cut := &cutListener{Listener: l}
+	b := newEnd(t, cut, secret)
+	for i := range uint64(3) {
+		is.NoErr(a.node.Send(b.id, status(i)))
+		is.Equal(sequence(b.next(t).msg), i)
+		is.True(<-a.up)
+		cut.cut()
+		is.True(!<-a.up)
+	}
+	is.Equal(a.reg.Counter("ferry.links_opened"), int64(3))
+}
+
+// Guards against a dialer that gives up while the peer starts late.
+func TestPeerStartsLate(t *testing.T) {
+	is := is.New(t)
+	a := newEnd(t, listen(t, "127.0.0.1:0"), secret)
+	l := listen(t, "127.0.0.1:0")
+	address := l.Addr().String()
+	l.Close()
+	id := order.NewMemberID(address)
+	is.NoErr(a.node.Send(id, status(1)))
+	eventually(t, "failed dial", func() bool { return a.reg.Counter("ferry.dial_failed") > 1 })
+	node := ferry.New(id, order.RolePlacer, "east", secret, tide.New(), gauge.New(zerolog.Nop()), zerolog.Nop())
+	t.Cleanup(node.Close)
+	got := make(chan order.Msg, 1)
+	node.OnMessage(func(_ order.MemberID, m order.Msg) { got <- m })
+	go node.Serve(listen(t, address))
+	is.Equal(sequence(<-got), uint64(1))
+}
+
+// Guards against a stranger without the secret that reaches the handler.
+func TestWrongSecret(t *testing.T) {
+	is := is.New(t)
+	a := newEnd(t, listen(t, "127.0.0.1:0"), "another secret", ferry.WithMessageAge(200*time.Millisecond))
+	b := newEnd(t, listen(t, "127.0.0.1:0"), secret)
+	is.NoErr(a.node.Send(b.id, status(1)))
+	eventually(t, "refusal", func() bool { return b.reg.Counter("ferry.refused.secret") > 0 })
+	eventually(t, "drop", func() bool { return a.reg.Counter("ferry.dropped.expired") == 1 })
+	is.Equal(len(b.got), 0)
+	is.Equal(len(b.up), 0)
+}
+
+// Guards against a message for a process that was replaced by another one at
+// the same address.
+func TestWrongMember(t *testing.T) {
+	is := is.New(t)
+	a := newEnd(t, listen(t, "127.0.0.1:0"), secret)
+	b := newEnd(t, listen(t, "127.0.0.1:0"), secret)
+	is.NoErr(a.node.Send(order.NewMemberID(b.id.Address()), status(1)))
+	eventually(t, "drop", func() bool { return a.reg.Counter("ferry.dropped.wrong_member") == 1 })
+	is.Equal(len(b.got), 0)
+}
+
+// Guards against a large message that blocks or breaks the link for others.
+func TestOversizedMessageIsDropped(t *testing.T) {
+	is := is.New(t)
+	a := newEnd(t, listen(t, "127.0.0.1:0"), secret, ferry.WithFrameLimit(1000))
+	b := newEnd(t, listen(t, "127.0.0.1:0"), secret, ferry.WithFrameLimit(1000))
+	is.NoErr(a.node.Send(b.id, order.AnswerMsg{}.WithBody(make([]byte, 2000))))
+	is.NoErr(a.node.Send(b.id, status(2)))
+	is.Equal(sequence(b.next(t).msg), uint64(2))
+	is.Equal(a.reg.Counter("ferry.dropped.oversized"), int64(1))
+}
+
+// handshake opens a raw link that shows the right secret.
+func handshake(t *testing.T, b *end) *websocket.Conn {
+	t.Helper()
+	is := is.New(t)
+	ctx := context.Background()
+	ws, _, err := websocket.Dial(ctx, "ws://"+b.id.Address()+"/v1/link", nil)
+	is.NoErr(err)
+	t.Cleanup(func() { ws.CloseNow() })
+	hello, err := order.Encode(order.HelloMsg{}.WithMember("raw/1").WithSecret(secret).WithVersion(1))
+	is.NoErr(err)
+	is.NoErr(ws.Write(ctx, websocket.MessageBinary, hello))
+	_, _, err = ws.Read(ctx)
+	is.NoErr(err)
+	return ws
+}
+
+// Guards against a peer whose oversized, garbled or text frames use up memory
+// or stop the process.
+func TestBadFramesEndTheLink(t *testing.T) {
+	frames := map[string]struct {
+		kind websocket.MessageType
+		data []byte
+	}{
+		"oversized": {websocket.MessageBinary, make([]byte, 4000)},
+		"garbage":   {websocket.MessageBinary, bytes.Repeat([]byte{0xff}, 40)},
+		"text":      {websocket.MessageText, []byte("hello")},
+	}
+	for name, frame := range frames {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := newEnd(t, listen(t, "127.0.0.1:0"), secret, ferry.WithFrameLimit(1000))
+			ws := handshake(t, b)
+			is.True(<-b.up)
+			is.NoErr(ws.Write(context.Background(), frame.kind, frame.data))
+			is.True(!<-b.up)
+			is.Equal(len(b.got), 0)
+			a := newEnd(t, listen(t, "127.0.0.1:0"), secret)
+			is.NoErr(a.node.Send(b.id, status(1)))
+			is.Equal(sequence(b.next(t).msg), uint64(1))
+		})
+	}
+}
+
+// Guards against a peer that stops reading and blocks the sender.
+func TestSlowReader(t *testing.T) {
+	is := is.New(t)
+	b := newEnd(t, listen(t, "127.0.0.1:0"), secret, ferry.WithRing(16), ferry.WithWriteTimeout(200*time.Millisecond))
+	handshake(t, b)
+	is.True(<-b.up)
+	full := false
+	body := order.AnswerMsg{}.WithBody(make([]byte, 1<<20))
+	for i := 0; i < 64 && !full; i++ {
+		start := time.Now()
+		full = b.node.Send("raw/1", body) != nil
+		is.True(time.Since(start) < 100*time.Millisecond)
+	}
+	is.True(full)
+	is.True(b.reg.Counter("ferry.dropped.ring_full") > 0)
+	is.True(!<-b.up)
+}
+
+// Guards against a silent peer that is taken for a live one.
+func TestIdleLinkEnds(t *testing.T) {
+	is := is.New(t)
+	b := newEnd(t, listen(t, "127.0.0.1:0"), secret, ferry.WithIdleTimeout(100*time.Millisecond))
+	handshake(t, b)
+	is.True(<-b.up)
+	is.True(!<-b.up)
+}
+
+// Guards against an idle link between live processes that ends.
+func TestKeepAlive(t *testing.T) {
+	is := is.New(t)
+	opt := ferry.WithIdleTimeout(300 * time.Millisecond)
+	a := newEnd(t, listen(t, "127.0.0.1:0"), secret, opt)
+	b := newEnd(t, listen(t, "127.0.0.1:0"), secret, opt)
+	a.node.Connect(b.id)
+	is.True(<-b.up)
+	time.Sleep(900 * time.Millisecond)
+	is.Equal(len(b.up), 0)
+	is.Equal(len(a.got), 0)
+}
+
+// Guards against messages that are lost in a planned stop.
+func TestCloseWritesWhatWaits(t *testing.T) {
+	is := is.New(t)
+	a := newEnd(t, listen(t, "127.0.0.1:0"), secret)
+	b := newEnd(t, listen(t, "127.0.0.1:0"), secret)
+	a.node.Connect(b.id)
+	is.True(<-a.up)
+	for i := range uint64(500) {
+		is.NoErr(a.node.Send(b.id, status(i)))
+	}
+	a.node.Close()
+	for i := range uint64(500) {
+		is.Equal(sequence(b.next(t).msg), i)
+	}
+	is.Equal(a.node.Send(b.id, status(1)), ferry.ErrClosed)
+}
+
+// BenchmarkRoundTrip measures one message and its answer over a link.
+func BenchmarkRoundTrip(b *testing.B) {
+	a := newEnd(b, listen(b, "127.0.0.1:0"), secret)
+	c := newEnd(b, listen(b, "127.0.0.1:0"), secret)
+	c.node.OnMessage(func(from order.MemberID, m order.Msg) { _ = c.node.Send(from, m) })
+	b.ReportAllocs()
+	for b.Loop() {
+		if err := a.node.Send(c.id, status(1)); err != nil {
+			b.Fatal(err)
+		}
+		a.next(b)
+	}
+}
+
+// BenchmarkStream measures one-way messages with many in flight.
+func BenchmarkStream(b *testing.B) {
+	a := newEnd(b, listen(b, "127.0.0.1:0"), secret)
+	c := newEnd(b, listen(b, "127.0.0.1:0"), secret)
+	b.ReportAllocs()
+	go func() {
+		for i := 0; i < b.N; i++ {
+			for a.node.Send(c.id, status(1)) != nil {
+				time.Sleep(100 * time.Microsecond)
+			}
+		}
+	}()
+	for i := 0; i < b.N; i++ {
+		c.next(b)
+	}
+}
--- /dev/null
+++ b/ferry/link.go
@@ -0,0 +1,281 @@
+package ferry
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"net"
+	"time"
+
+	"github.com/coder/websocket"
+
+	"chervilhollow/order"
+)
+
+// link is one open connection to a peer.
+type link struct {
+	node   *Node
+	peer   *peer
+	ws     *websocket.Conn
+	conn   *batchConn
+	dialed bool
+	done   chan struct{}
+}
+
+// keptBuffer is the largest read buffer that a link keeps between frames.
+const keptBuffer = 64 << 10
+
+// open registers the link and starts its reader and writer.
+func (n *Node) open(l *link) {
+	l.done = make(chan struct{})
+	l.ws.SetReadLimit(int64(n.limits.frame))
+	l.conn.active.Store(true)
+	replaced, first, ok := n.register(l)
+	if !ok {
+		l.ws.CloseNow()
+		return
+	}
+	if replaced != nil {
+		replaced.ws.CloseNow()
+	}
+	if first {
+		n.tellLink(l.peer.id, true)
+	}
+	n.reg.Count("ferry.links_opened")
+	go l.read()
+	go l.write()
+}
+
+// register adds the link to its peer. A peer that dials again has lost its
+// earlier link, so the new accepted link replaces that one.
+func (n *Node) register(l *link) (replaced *link, first, ok bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.closed {
+		return nil, false, false
+	}
+	if l.dialed {
+		l.peer.dialing = false
+	} else {
+		l.peer = n.peer(l.peer.id)
+		replaced, l.peer.accepted = l.peer.accepted, l
+	}
+	l.peer.links++
+	n.links[l] = struct{}{}
+	n.wg.Add(2)
+	return replaced, l.peer.links == 1, true
+}
+
+func (n *Node) unregister(l *link) {
+	n.mu.Lock()
+	p := l.peer
+	p.links--
+	delete(n.links, l)
+	if p.accepted == l {
+		p.accepted = nil
+	}
+	last := p.links == 0
+	if last && len(p.queue) > 0 && !n.closed {
+		n.dialIfNeeded(p)
+	}
+	n.forget(p)
+	n.mu.Unlock()
+	if last {
+		n.tellLink(p.id, false)
+	}
+}
+
+func (n *Node) tellLink(peer order.MemberID, up bool) {
+	n.mu.Lock()
+	handler := n.onLink
+	n.mu.Unlock()
+	if handler != nil {
+		handler(peer, up)
+	}
+}
+
+func (l *link) read() {
+	defer l.node.wg.Done()
+	defer l.node.unregister(l)
+	defer close(l.done)
+	defer l.ws.CloseNow()
+	var buffer bytes.Buffer
+	for {
+		m, err := l.readMsg(&buffer)
+		if err != nil {
+			l.node.linkEnded(l.peer.id, err)
+			return
+		}
+		if m != nil {
+			l.node.deliver(l.peer.id, m)
+		}
+	}
+}
+
+// readMsg returns the next message, or none for a keep-alive frame and for a
+// message that a newer version sent.
+func (l *link) readMsg(buffer *bytes.Buffer) (order.Msg, error) {
+	kind, r, err := l.ws.Reader(context.Background())
+	if err != nil {
+		return nil, err
+	}
+	if kind != websocket.MessageBinary {
+		return nil, errNotBinary
+	}
+	if buffer.Cap() > keptBuffer {
+		*buffer = bytes.Buffer{}
+	}
+	buffer.Reset()
+	if _, err := buffer.ReadFrom(r); err != nil {
+		return nil, err
+	}
+	if buffer.Len() == 0 {
+		return nil, nil
+	}
+	m, err := order.Decode(buffer.Bytes())
+	var unknown *order.UnknownMessageError
+	if errors.As(err, &unknown) {
+		l.node.reg.Count("ferry.dropped.unknown_message")
+		return nil, nil
+	}
+	if err != nil {
+		l.node.reg.Count("ferry.refused.garbage")
+	}
+	return m, err
+}
+
+func (n *Node) linkEnded(peer order.MemberID, err error) {
+	reason := "closed"
+	var timeout net.Error
+	switch {
+	case n.ctx.Err() != nil:
+	case errors.Is(err, websocket.ErrMessageTooBig):
+		reason = "oversized"
+	case errors.As(err, &timeout) && timeout.Timeout():
+		reason = "idle"
+	}
+	n.reg.Count("ferry.link_ended." + reason)
+	n.log.Debug().Str("peer", string(peer)).Err(err).Msg("ferry: link ended")
+}
+
+func (l *link) write() {
+	defer l.node.wg.Done()
+	defer l.ws.CloseNow()
+	ticks := l.node.clock.Subscribe(l.node.limits.idle / keepAlivesPerIdle)
+	defer ticks.Close()
+	if !l.awaitTurn(ticks.C()) {
+		return
+	}
+	defer func() { l.peer.turn <- struct{}{} }()
+	for {
+		select {
+		case q := <-l.peer.queue:
+			if err := l.writeBatch(q); err != nil {
+				l.node.reg.Count("ferry.write_failed")
+				return
+			}
+		case <-ticks.C():
+			if l.keepAlive() != nil {
+				return
+			}
+		case <-l.done:
+			return
+		case <-l.node.ctx.Done():
+			l.drain()
+			return
+		}
+	}
+}
+
+// awaitTurn keeps the link alive until it may send messages.
+func (l *link) awaitTurn(ticks <-chan time.Time) bool {
+	for {
+		select {
+		case <-l.peer.turn:
+			return true
+		case <-ticks:
+			if l.keepAlive() != nil {
+				return false
+			}
+		case <-l.done:
+			return false
+		case <-l.node.ctx.Done():
+			// A link that opened just before Close still writes what waits.
+			select {
+			case <-l.peer.turn:
+				return true
+			default:
+				return false
+			}
+		}
+	}
+}
+
+func (l *link) keepAlive() error {
+	return l.ws.Write(context.Background(), websocket.MessageBinary, nil)
+}
+
+// drain writes what waits when the node closes.
+func (l *link) drain() {
+	for {
+		select {
+		case q := <-l.peer.queue:
+			if l.writeBatch(q) != nil {
+				return
+			}
+		default:
+			return
+		}
+	}
+}
+
+// writeBatch writes the message and those that wait behind it in one flush.
+func (l *link) writeBatch(q queued) error {
+	l.conn.cork()
+	count, err := 0, error(nil)
+	oldest := l.node.clock.Now().Add(-l.node.limits.age)
+batch:
+	for {
+		if err = l.writeMsg(q, oldest); err != nil {
+			break
+		}
+		count++
+		if count == l.node.limits.batch {
+			break
+		}
+		select {
+		case q = <-l.peer.queue:
+		default:
+			break batch
+		}
+	}
+	if flushErr := l.conn.flush(); err == nil {
+		err = flushErr
+	}
+	if err != nil {
+		l.node.reg.Add("ferry.dropped.link_lost", int64(count))
+		return err
+	}
+	l.node.reg.Add("ferry.sent", int64(count))
+	return nil
+}
+
+func (l *link) writeMsg(q queued, oldest time.Time) error {
+	if q.at.Before(oldest) {
+		l.node.reg.Count("ferry.dropped.expired")
+		return nil
+	}
+	data, err := order.Encode(q.msg)
+	if err != nil {
+		l.node.reg.Count("ferry.dropped.encode")
+		l.node.log.Error().Err(err).Msg("ferry: message cannot be encoded")
+		return nil
+	}
+	if len(data) > l.node.limits.frame {
+		l.node.reg.Count("ferry.dropped.oversized")
+		l.node.log.Error().Int("bytes", len(data)).Str("peer", string(l.peer.id)).
+			Msgf("ferry: %T exceeds the frame limit", q.msg)
+		return nil
+	}
+	return l.ws.Write(context.Background(), websocket.MessageBinary, data)
+}
