Add the settings files of gate and placer

A settings file with unknown fields, bad values or missing addresses stops the program at once. All faults are reported together with file and line, so an operator corrects a file in one pass.

--- /dev/null
+++ b/chart/chart_test.go
@@ -0,0 +1,110 @@
+package chart_test
+
+import (
+	"bytes"
+	"errors"
+	"flag"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rogpeppe/go-internal/txtar"
+
+	"chervilhollow/chart"
+)
+
+// Guards against a settings file whose fault is accepted, is reported at the
+// wrong line or hides other faults.
+func TestFaults(t *testing.T) {
+	parsers := map[string]func(data []byte) error{
+		"gate.txtar": func(data []byte) error {
+			_, err := chart.ParseGate("settings", data)
+			return err
+		},
+		"placer.txtar": func(data []byte) error {
+			_, err := chart.ParsePlacer("settings", data)
+			return err
+		},
+	}
+	for file, parse := range parsers {
+		archive, err := txtar.ParseFile(filepath.Join("testdata", file))
+		if err != nil {
+			t.Fatal(err)
+		}
+		want := make(map[string]string)
+		for _, f := range archive.Files {
+			if name, ok := strings.CutSuffix(f.Name, "/faults"); ok {
+				want[name] = string(f.Data)
+			}
+		}
+		for _, f := range archive.Files {
+			name, ok := strings.CutSuffix(f.Name, "/settings")
+			if !ok {
+				continue
+			}
+			t.Run(file+"/"+name, func(t *testing.T) {
+				is := is.New(t)
+				is.Equal(faultsOf(parse(f.Data)), want[name])
+			})
+		}
+	}
+}
+
+func faultsOf(err error) string {
+	if err == nil {
+		return ""
+	}
+	return strings.ReplaceAll(err.Error(), "settings:", "") + "\n"
+}
+
+// Guards against a default that a file does not override, or that it erases.
+func TestValuesAndDefaults(t *testing.T) {
+	is := is.New(t)
+	archive, err := txtar.ParseFile("testdata/gate.txtar")
+	is.NoErr(err)
+	gate, err := chart.ParseGate("settings", archive.Files[0].Data)
+	is.NoErr(err)
+	is.Equal(gate.PeerAddress(), "10.0.0.7:7000")
+	is.Equal(string(gate.FailureDomain()), "east")
+	is.Equal(gate.StopTimeout(), 1500*time.Millisecond)
+	is.Equal(gate.MaxBodyBytes(), int64(1<<20))
+	is.Equal(gate.LogLevel(), "info")
+}
+
+// Guards against an operator who has to read the source to write a settings
+// file.
+func TestHelpNamesEveryField(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	_, err := chart.GateCommand([]string{"--help"}, &out)
+	is.True(errors.Is(err, flag.ErrHelp))
+	for _, word := range []string{"--settings", "-check", "peer_address", "caller_address", "limits", "team_rate", "required", `default "30s"`} {
+		is.True(strings.Contains(out.String(), word))
+	}
+}
+
+// Guards against a command line that is half understood.
+func TestCommandLine(t *testing.T) {
+	is := is.New(t)
+	for _, args := range [][]string{{}, {"--speed"}, {"--settings", "x", "extra"}} {
+		_, err := chart.PlacerCommand(args, &bytes.Buffer{})
+		is.True(errors.Is(err, chart.ErrUsage))
+	}
+	c, err := chart.PlacerCommand([]string{"--settings", "missing.json", "--check"}, &bytes.Buffer{})
+	is.NoErr(err)
+	is.True(c.Check())
+	_, err = c.Placer()
+	is.True(errors.Is(err, os.ErrNotExist))
+}
+
+// Guards against a file that stops the program with a panic.
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(`{"limits": {"stop_timeout": "1s"}}`))
+	f.Add([]byte(`{"limits": [1, /* c */ null,]}`))
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		_, _ = chart.ParseGate("settings", data)
+	})
+}
