--- a/order/codes.go
+++ b/order/codes.go
@@ -17,10 +17,10 @@
 	}
 )
 
-// Result codes. Codes below 300, but for Done, mean that the request did not
-// run.
+// Result codes. Codes from 100 to 299 mean that the request did not run.
 const (
-	Done Code = 0
+	Done    Code = 0
+	Pending Code = 1
 
 	Malformed      Code = 101
 	BodyTooLarge   Code = 102
@@ -63,6 +63,7 @@
 
 var codeTable = []codeInfo{
 	{Done, "done", "The request ran and this is its whole result."},
+	{Pending, "pending", "The request has not ended; ask for its result by ID."},
 	{Malformed, "malformed", "Correct the request as the text says and send it again."},
 	{BodyTooLarge, "body_too_large", "Send a smaller body."},
 	{UnknownKind, "unknown_kind", "Use the kind batch, preview, service or gang."},
@@ -105,7 +106,7 @@
 	switch {
 	case c == Done, c >= 300 && c < 400:
 		return RunYes
-	case c < 300:
+	case c >= 100 && c < 300:
 		return RunNo
 	}
 	return RunUnknown
--- a/order/order_test.go
+++ b/order/order_test.go
@@ -54,6 +54,7 @@
 	is.Equal(order.QueueFull.Run(), order.RunNo)
 	is.Equal(order.WorkerLost.Run(), order.RunYes)
 	is.Equal(order.OutcomeUnknown.Run(), order.RunUnknown)
+	is.Equal(order.Pending.Run(), order.RunUnknown)
 	for _, code := range order.Codes() {
 		is.True(code.Text() != "")
 	}
--- a/order/schema_gen.go
+++ b/order/schema_gen.go
@@ -1138,6 +1138,7 @@
 		Partition PartitionID `cbor:"1,keyasint,omitempty"`
 		Team      TeamName    `cbor:"2,keyasint,omitempty"`
 		Request   RequestID   `cbor:"3,keyasint,omitempty"`
+		Sequence  uint64      `cbor:"4,keyasint,omitempty"`
 	}
 )
 
@@ -1168,6 +1169,15 @@
 	return x
 }
 
+// Sequence returns the number that the answer repeats.
+func (x CancelMsg) Sequence() uint64 { return x.w.Sequence }
+
+// WithSequence returns a copy with Sequence set.
+func (x CancelMsg) WithSequence(v uint64) CancelMsg {
+	x.w.Sequence = v
+	return x
+}
+
 // MarshalCBOR implements cbor.Marshaler.
 func (x CancelMsg) MarshalCBOR() ([]byte, error) { return marshal(x.w) }
 
