--- /dev/null
+++ b/counter/answer.go
@@ -0,0 +1,178 @@
+package counter
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"chervilhollow/order"
+)
+
+type (
+	// reply is what a caller is told.
+	reply struct {
+		code    order.Code
+		text    string
+		state   order.RequestState
+		result  []byte
+		status  int
+		started time.Time
+		id      order.RequestID
+		silent  bool
+	}
+
+	answerDocument struct {
+		ID       order.RequestID `json:"id,omitempty"`
+		Code     order.Code      `json:"code"`
+		Name     string          `json:"name"`
+		Text     string          `json:"text"`
+		Run      string          `json:"run"`
+		State    string          `json:"state,omitempty"`
+		Result   []byte          `json:"result,omitempty"`
+		WaitedMS float64         `json:"waited_ms"`
+	}
+)
+
+const retryAfterSeconds = "1"
+
+// httpStatus maps result codes to HTTP status codes. Work that failed is not
+// answered with a 5xx status, because a balancer would count it against the
+// gate.
+var httpStatus = map[order.Code]int{
+	order.Done:                 http.StatusOK,
+	order.Pending:              http.StatusAccepted,
+	order.Malformed:            http.StatusBadRequest,
+	order.BodyTooLarge:         http.StatusRequestEntityTooLarge,
+	order.UnknownKind:          http.StatusBadRequest,
+	order.KeyUnknown:           http.StatusUnauthorized,
+	order.KeyWithdrawn:         http.StatusForbidden,
+	order.TooLarge:             http.StatusUnprocessableEntity,
+	order.UnknownRequest:       http.StatusNotFound,
+	order.RateExceeded:         http.StatusTooManyRequests,
+	order.IDReused:             http.StatusConflict,
+	order.BadDeadline:          http.StatusBadRequest,
+	order.QueueFull:            http.StatusServiceUnavailable,
+	order.DeadlineBeforeRun:    http.StatusRequestTimeout,
+	order.NoOwner:              http.StatusServiceUnavailable,
+	order.Stopping:             http.StatusServiceUnavailable,
+	order.ConfigUncertain:      http.StatusServiceUnavailable,
+	order.JournalUnavailable:   http.StatusServiceUnavailable,
+	order.CancelledBeforeRun:   http.StatusGone,
+	order.NoDomain:             http.StatusServiceUnavailable,
+	order.TaskFailed:           http.StatusUnprocessableEntity,
+	order.CancelledRunning:     http.StatusGone,
+	order.WorkerLost:           http.StatusBadGateway,
+	order.DeadlineWhileRun:     http.StatusGatewayTimeout,
+	order.ResultTooLargeToKeep: http.StatusInsufficientStorage,
+	order.OutcomeUnknown:       http.StatusGatewayTimeout,
+	order.AnswerIncomplete:     http.StatusBadGateway,
+	order.Internal:             http.StatusInternalServerError,
+}
+
+// newReply returns a reply with the usual text of the code.
+func newReply(code order.Code) reply { return reply{code: code, text: code.Text()} }
+
+func (r reply) withText(text string) reply {
+	if text != "" {
+		r.text = text
+	}
+	return r
+}
+
+func (r reply) withStatus(status int) reply {
+	r.status = status
+	return r
+}
+
+func (r reply) withState(state order.RequestState) reply {
+	r.state = state
+	return r
+}
+
+func (r reply) withID(id order.RequestID) reply {
+	r.id = id
+	return r
+}
+
+func replyOf(m order.AnswerMsg) reply {
+	r := newReply(m.Code()).withText(m.Text()).withState(m.State())
+	r.result = m.Body()
+	r.started = m.Started()
+	return r
+}
+
+// httpStatus returns the HTTP status of the reply.
+func (r reply) httpStatus() int {
+	if r.status != 0 {
+		return r.status
+	}
+	if status, ok := httpStatus[r.code]; ok {
+		return status
+	}
+	return http.StatusInternalServerError
+}
+
+// run tells what the caller may conclude. A code that speaks of a status,
+// result or cancel call only says nothing about the run of a submission.
+func (r reply) run(submits bool) order.Run {
+	if r.code == order.Pending && r.state == order.RequestRunning {
+		return order.RunYes
+	}
+	if submits || r.state == order.RequestDone {
+		return r.code.Run()
+	}
+	if r.code.Run() == order.RunNo {
+		return order.RunUnknown
+	}
+	return r.code.Run()
+}
+
+// write sends the answer to the caller.
+func (c *Counter) write(k *call, r reply) {
+	c.deps.registry.Count("counter.answered." + r.code.String())
+	if r.silent {
+		return
+	}
+	if id := order.RequestID(k.r.PathValue("id")); id != "" {
+		r.id = id
+	}
+	header := k.w.Header()
+	header.Set("Content-Type", "application/json")
+	if c.Stopping() {
+		header.Set("Connection", "close")
+	}
+	switch r.httpStatus() {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+		header.Set("Retry-After", retryAfterSeconds)
+	case http.StatusUnauthorized:
+		header.Set("WWW-Authenticate", "Bearer")
+	}
+	_ = http.NewResponseController(k.w).SetWriteDeadline(time.Now().Add(writeTimeout))
+	k.w.WriteHeader(r.httpStatus())
+	if err := json.NewEncoder(k.w).Encode(c.document(k, r)); err != nil {
+		c.deps.registry.Count("counter.answer_not_written")
+	}
+}
+
+func (c *Counter) document(k *call, r reply) answerDocument {
+	d := answerDocument{
+		ID: r.id, Code: r.code, Name: r.code.String(), Text: r.text,
+		Run: r.run(k.submits).String(), Result: r.result,
+	}
+	if r.state != order.RequestUnknown {
+		d.State = r.state.String()
+	}
+	if k.submits {
+		d.WaitedMS = waited(k.received, r.started, c.deps.clock.Now())
+	}
+	return d
+}
+
+// waited returns the milliseconds from the receipt to the start, or to now if
+// the request did not start.
+func waited(received, started, now time.Time) float64 {
+	if started.IsZero() {
+		started = now
+	}
+	return max(0, float64(started.Sub(received))/float64(time.Millisecond))
+}
--- /dev/null
+++ b/counter/parse.go
@@ -0,0 +1,213 @@
+package counter
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/oklog/ulid/v2"
+
+	"chervilhollow/order"
+)
+
+type (
+	requestDocument struct {
+		ID           string  `json:"id"`
+		Kind         string  `json:"kind"`
+		Tasks        *int    `json:"tasks"`
+		Idempotent   bool    `json:"idempotent"`
+		Detached     bool    `json:"detached"`
+		Urgent       bool    `json:"urgent"`
+		Checkpoint   bool    `json:"checkpoint"`
+		DeadlineMS   *int64  `json:"deadline_ms"`
+		Cores        float64 `json:"cores"`
+		MemoryMB     int64   `json:"memory_mb"`
+		Accelerators int     `json:"accelerators"`
+		Payload      []byte  `json:"payload"`
+	}
+
+	// submission is a checked request.
+	submission struct {
+		request order.Request
+
+		// madeID tells that the gate chose the ID.
+		madeID bool
+
+		// hash covers all that must be the same when the ID is used again.
+		hash uint64
+	}
+)
+
+const (
+	maxID           = 128
+	maxCores        = 1 << 20
+	maxMemoryMB     = 1 << 30
+	maxAccelerators = 1 << 16
+	milliCores      = 1000
+	bytesPerMB      = 1 << 20
+)
+
+var errOneObject = errors.New("the body must hold one JSON object only")
+
+// parse reads the request of a submission.
+func (c *Counter) parse(k *call) (submission, reply, bool) {
+	d, refusal, ok := c.readDocument(k)
+	if !ok {
+		return submission{}, refusal, false
+	}
+	kind, err := order.ParseKind(d.Kind)
+	if err != nil {
+		return submission{}, newReply(order.UnknownKind), false
+	}
+	if reason := c.check(d, kind); reason != "" {
+		return submission{}, malformed(reason), false
+	}
+	deadline, ok := c.deadline(d, k.received)
+	if !ok {
+		return submission{}, newReply(order.BadDeadline).withText(fmt.Sprintf(
+			"deadline_ms must be between 1 and %d.", c.limits.maxDeadline.Milliseconds())), false
+	}
+	return newSubmission(d, kind, k, deadline), reply{}, true
+}
+
+func (c *Counter) readDocument(k *call) (requestDocument, reply, bool) {
+	restore := c.limitBody(k)
+	defer restore()
+	var d requestDocument
+	decoder := json.NewDecoder(k.r.Body)
+	decoder.DisallowUnknownFields()
+	err := decoder.Decode(&d)
+	if err == nil {
+		err = atEnd(decoder)
+	}
+	var tooLarge *http.MaxBytesError
+	switch {
+	case err == nil:
+		return d, reply{}, true
+	case errors.As(err, &tooLarge):
+		return d, newReply(order.BodyTooLarge).withText(fmt.Sprintf(
+			"Send a body of at most %d bytes.", c.limits.body)), false
+	case errors.Is(err, io.EOF):
+		return d, malformed(`the body must be a JSON object with the field "kind"`), false
+	}
+	return d, malformed(strings.TrimPrefix(err.Error(), "json: ")), false
+}
+
+// atEnd returns an error if anything but spaces follows.
+func atEnd(decoder *json.Decoder) error {
+	_, err := decoder.Token()
+	switch {
+	case errors.Is(err, io.EOF):
+		return nil
+	case err == nil:
+		return errOneObject
+	}
+	return err
+}
+
+func malformed(reason string) reply {
+	return newReply(order.Malformed).withText("Correct the request: " + reason + ".")
+}
+
+// check returns what is wrong with the fields, or nothing.
+func (c *Counter) check(d requestDocument, kind order.Kind) string {
+	switch {
+	case d.ID != "" && !validID(d.ID):
+		return fmt.Sprintf("id must have 1 to %d letters, digits or the characters . _ : -", maxID)
+	case d.Tasks != nil && (*d.Tasks < 1 || *d.Tasks > c.limits.tasks):
+		return fmt.Sprintf("tasks must be between 1 and %d", c.limits.tasks)
+	case d.Tasks != nil && *d.Tasks > 1 && kind != order.Gang && kind != order.Service:
+		return "tasks must be 1 for a batch or a preview"
+	case kind == order.Service && !d.Detached:
+		return "a service has no end, so it must be detached"
+	}
+	return checkSize(d)
+}
+
+func checkSize(d requestDocument) string {
+	switch {
+	case d.Cores*milliCores < 1 || d.Cores > maxCores:
+		return fmt.Sprintf("cores must be between 0.001 and %d", maxCores)
+	case d.MemoryMB < 1 || d.MemoryMB > maxMemoryMB:
+		return fmt.Sprintf("memory_mb must be between 1 and %d", maxMemoryMB)
+	case d.Accelerators < 0 || d.Accelerators > maxAccelerators:
+		return fmt.Sprintf("accelerators must be between 0 and %d", maxAccelerators)
+	}
+	return ""
+}
+
+// validID reports whether the ID can be part of a path and of a task ID.
+func validID(id string) bool {
+	if id == "" || len(id) > maxID {
+		return false
+	}
+	for _, r := range id {
+		switch {
+		case r >= 'a' && r <= 'z', r >= 'A' && r <= 'Z', r >= '0' && r <= '9':
+		case strings.ContainsRune("._:-", r):
+		default:
+			return false
+		}
+	}
+	return id != "." && id != ".."
+}
+
+// deadline returns the time at which the caller stops waiting; a detached
+// request may have none.
+func (c *Counter) deadline(d requestDocument, received time.Time) (time.Time, bool) {
+	if d.DeadlineMS == nil {
+		if d.Detached {
+			return time.Time{}, true
+		}
+		return received.Add(c.limits.defaultDeadline), true
+	}
+	ms := *d.DeadlineMS
+	if ms < 1 || ms > c.limits.maxDeadline.Milliseconds() {
+		return time.Time{}, false
+	}
+	return received.Add(time.Duration(ms) * time.Millisecond), true
+}
+
+func newSubmission(d requestDocument, kind order.Kind, k *call, deadline time.Time) submission {
+	s := submission{madeID: d.ID == ""}
+	if s.madeID {
+		d.ID = ulid.Make().String()
+	}
+	tasks := 1
+	if d.Tasks != nil {
+		tasks = *d.Tasks
+	}
+	size := order.Resources{}.
+		WithCores(order.MilliCores(d.Cores * milliCores)).
+		WithMemory(order.Bytes(d.MemoryMB * bytesPerMB)).
+		WithAccelerators(d.Accelerators)
+	s.request = order.Request{}.
+		WithID(order.RequestID(d.ID)).
+		WithTeam(k.team).
+		WithKind(kind).
+		WithTasks(tasks).
+		WithIdempotent(d.Idempotent).
+		WithDetached(d.Detached).
+		WithUrgent(d.Urgent).
+		WithCheckpoint(d.Checkpoint).
+		WithDeadline(deadline).
+		WithSize(size).
+		WithPayload(d.Payload).
+		WithReceived(k.received)
+	s.hash = bodyHash(s.request)
+	return s
+}
+
+func bodyHash(r order.Request) uint64 {
+	size := r.Size()
+	h := xxhash.New()
+	fmt.Fprintln(h, r.Kind(), r.Tasks(), r.Idempotent(), r.Detached(), r.Urgent(), r.Checkpoint(),
+		size.Cores(), size.Memory(), size.Accelerators())
+	_, _ = h.Write(r.Payload())
+	return h.Sum64()
+}
