--- a/order/schema_gen.go
+++ b/order/schema_gen.go
@@ -888,6 +888,7 @@
 		Partition PartitionID `cbor:"1,keyasint,omitempty"`
 		Epoch     Epoch       `cbor:"2,keyasint,omitempty"`
 		State     []byte      `cbor:"3,keyasint,omitempty"`
+		Handover  string      `cbor:"4,keyasint,omitempty"`
 	}
 )
 
@@ -918,6 +919,15 @@
 	return x
 }
 
+// Handover returns the identifier that the record of this handover carries.
+func (x HandoverMsg) Handover() string { return x.w.Handover }
+
+// WithHandover returns a copy with Handover set.
+func (x HandoverMsg) WithHandover(v string) HandoverMsg {
+	x.w.Handover = v
+	return x
+}
+
 // MarshalCBOR implements cbor.Marshaler.
 func (x HandoverMsg) MarshalCBOR() ([]byte, error) { return marshal(x.w) }
 
