--- a/harbour/keeper_test.go
+++ b/harbour/keeper_test.go
@@ -52,13 +52,13 @@
 }
 
 // Send implements order.Sender for the node.
-func (n *node) Send(to order.MemberID, m order.Msg) error {
-	n.net.mu.Lock()
-	target, cut := n.net.nodes[to], n.net.cut(n.id, to)
-	n.net.mu.Unlock()
+func (v *node) Send(to order.MemberID, m order.Msg) error {
+	v.net.mu.Lock()
+	target, cut := v.net.nodes[to], v.net.cut(v.id, to)
+	v.net.mu.Unlock()
 	if target != nil && !cut {
-		target.peers.Handle(n.id, m)
-		target.keeper.Handle(n.id, m)
+		target.peers.Handle(v.id, m)
+		target.keeper.Handle(v.id, m)
 	}
 	return nil
 }
--- a/harbour/owner.go
+++ b/harbour/owner.go
@@ -155,7 +155,7 @@
 		c.granted(from, claim, m.Sequence(), until)
 	}
 	for _, claim := range m.Refused() {
-		c.refused(now, q, claim)
+		c.refused(q, claim)
 	}
 	c.probed(now, from, m)
 }
@@ -176,7 +176,7 @@
 }
 
 // refused reads the record, because the standby may have claimed.
-func (c *protocol) refused(now time.Time, q *pair, claim order.Claim) {
+func (c *protocol) refused(q *pair, claim order.Claim) {
 	p := c.owned[claim.Partition()]
 	if p == nil || p.hold.epoch != claim.Epoch() || q.revision > c.view.revision {
 		return
--- a/harbour/prefer.go
+++ b/harbour/prefer.go
@@ -26,7 +26,7 @@
 
 // preferred returns the process that should own the partition.
 func (c *protocol) preferred(id order.PartitionID) order.MemberID {
-	return c.best(id, c.candidates(func(m member) bool { return true }))
+	return c.best(id, c.candidates(func(member) bool { return true }))
 }
 
 // preferredSettled is like preferred among the processes that have lived for a
