Add the worker client, the worker stand-in and the worker group

The worker protocol lacked a way to bound leases when a message is delayed in a paused worker. Answers now carry a reading of the worker's clock, and starts and renewals name the reading that their lease counts from, so the owner knows when the lease is over without trusting the delivery time. An outcome says whether the task was checkpointed.

--- /dev/null
+++ b/berth/events.go
@@ -0,0 +1,122 @@
+package berth
+
+import (
+	"chervilhollow/crane"
+	"chervilhollow/order"
+)
+
+type (
+	// event is an input of the state machine.
+	event interface{ isEvent() }
+
+	messageEvent struct{ message order.Msg }
+
+	tickEvent struct{}
+
+	startResult struct {
+		worker order.WorkerID
+		ref    crane.Ref
+		stamp  crane.Stamp
+		err    error
+	}
+
+	listResult struct {
+		worker  order.WorkerID
+		listing crane.Listing
+		err     error
+	}
+
+	renewResult struct {
+		worker  order.WorkerID
+		renewal crane.Renewal
+		err     error
+	}
+
+	pollResult struct {
+		worker order.WorkerID
+		events crane.Events
+		err    error
+	}
+
+	ackResult struct {
+		worker order.WorkerID
+		refs   []crane.Ref
+		err    error
+	}
+
+	usageResult struct {
+		worker order.WorkerID
+		uses   []crane.Use
+		err    error
+	}
+
+	allotmentsResult struct {
+		records map[order.TeamName]allotment
+		err     error
+	}
+
+	// command is an output of the state machine, executed by the group.
+	command interface{ isCommand() }
+
+	postCommand struct {
+		partition order.PartitionID
+		message   order.Msg
+	}
+
+	startCommand struct {
+		worker order.WorkerID
+		start  crane.Start
+	}
+
+	listCommand struct{ worker order.WorkerID }
+
+	renewCommand struct {
+		worker order.WorkerID
+		stamp  crane.Stamp
+		refs   []crane.Ref
+	}
+
+	pollCommand struct {
+		worker order.WorkerID
+		after  uint64
+	}
+
+	ackCommand struct {
+		worker order.WorkerID
+		refs   []crane.Ref
+	}
+
+	stopCommand struct {
+		worker     order.WorkerID
+		ref        crane.Ref
+		checkpoint bool
+	}
+
+	usageCommand struct{ worker order.WorkerID }
+
+	readAllotmentsCommand struct{}
+
+	// dropCommand closes the client of a worker that left the group.
+	dropCommand struct{ worker order.WorkerID }
+)
+
+func (messageEvent) isEvent()     {}
+func (tickEvent) isEvent()        {}
+func (startResult) isEvent()      {}
+func (listResult) isEvent()       {}
+func (renewResult) isEvent()      {}
+func (pollResult) isEvent()       {}
+func (ackResult) isEvent()        {}
+func (usageResult) isEvent()      {}
+func (allotmentsResult) isEvent() {}
+
+func (postCommand) isCommand()           {}
+func (startCommand) isCommand()          {}
+func (listCommand) isCommand()           {}
+func (renewCommand) isCommand()          {}
+func (pollCommand) isCommand()           {}
+func (ackCommand) isCommand()            {}
+func (stopCommand) isCommand()           {}
+func (usageCommand) isCommand()          {}
+func (readAllotmentsCommand) isCommand() {}
+func (dropCommand) isCommand()           {}
--- /dev/null
+++ b/berth/outcomes.go
@@ -0,0 +1,119 @@
+package berth
+
+import (
+	"time"
+
+	"chervilhollow/crane"
+	"chervilhollow/order"
+)
+
+// Records the outcome that the worker reported.
+func (m *machine) finish(now time.Time, e *entry, outcome order.Outcome) {
+	switch outcome.Code() {
+	case order.Done:
+		m.noteSuccess(now, e)
+	case order.TaskFailed:
+		m.noteFailure(now, e, outcome.Ended().Sub(outcome.Started()))
+	}
+	e.confirmed = true
+	m.end(now, e, outcome)
+}
+
+// Reports a task whose worker no longer has it or did not answer until its
+// lease was over. Without a confirmed start the outcome is unknown.
+func (m *machine) lost(now time.Time, e *entry) {
+	code := order.WorkerLost
+	if !e.confirmed {
+		code = order.OutcomeUnknown
+	}
+	m.deps.registry.Count("berth.lost." + code.String())
+	m.end(now, e, order.Outcome{}.
+		WithTask(e.task.ID()).
+		WithAttempt(e.attempt).
+		WithCode(code).
+		WithWorker(e.host.id()).
+		WithStarted(e.startedAt).
+		WithEnded(now))
+}
+
+// Reports an attempt that certainly did not start.
+func (m *machine) fail(now time.Time, e *entry, code order.Code, text string) {
+	e.notStarted = true
+	m.deps.registry.Count("berth.not_started." + code.String())
+	m.end(now, e, order.Outcome{}.
+		WithTask(e.task.ID()).
+		WithAttempt(e.attempt).
+		WithCode(code).
+		WithText(text))
+}
+
+func (m *machine) end(now time.Time, e *entry, outcome order.Outcome) {
+	m.leave(e)
+	e.host.cooldown.released(e.task.ID())
+	e.state = order.TaskEnded
+	e.outcome = outcome
+	m.postEnded(now, e)
+}
+
+// The outcome is sent until the partition acknowledges it.
+func (m *machine) postEnded(now time.Time, e *entry) {
+	e.repostAt = now.Add(repostPeriod)
+	m.post(requestPartitionOf(e.task), m.endedMsg(e.task.ID(), e.outcome, e.notStarted))
+}
+
+func (m *machine) endedMsg(task order.TaskID, outcome order.Outcome, notStarted bool) order.EndedMsg {
+	partition := partitionOf(task)
+	if e, ok := m.entries[task]; ok {
+		partition = requestPartitionOf(e.task)
+	}
+	return order.EndedMsg{}.
+		WithPartition(partition).
+		WithGroup(m.group).
+		WithOutcome(outcome).
+		WithNotStarted(notStarted)
+}
+
+func (m *machine) onEndedAck(now time.Time, ref crane.Ref) {
+	e, ok := m.entries[ref.Task()]
+	if !ok || e.attempt != ref.Attempt() || e.state != order.TaskEnded {
+		return
+	}
+	m.forget(now, e)
+}
+
+// Forgets an ended attempt and lets its worker forget it.
+func (m *machine) forget(now time.Time, e *entry) {
+	delete(m.entries, e.task.ID())
+	m.settle(now, e.ref(), e.notStarted)
+	if !e.notStarted && e.host != nil {
+		e.host.acks = append(e.host.acks, e.ref())
+	}
+}
+
+func (m *machine) settle(now time.Time, ref crane.Ref, notStarted bool) {
+	m.settled[ref] = settled{until: now.Add(settledPeriod), notStarted: notStarted}
+}
+
+// Answers a message about an attempt that the group does not know. While
+// workers are unread the attempt may run there, so the sender has to ask
+// again; if some could never be read, its outcome is unknown.
+func (m *machine) answerUnknown(now time.Time, ref crane.Ref, code order.Code, text string) {
+	known, settled := m.settled[ref]
+	outcome := order.Outcome{}.WithTask(ref.Task()).WithAttempt(ref.Attempt()).WithCode(code).WithText(text)
+	switch {
+	case settled && !known.notStarted:
+		m.deps.registry.Count("berth.duplicate_confirm")
+	case settled:
+		m.post(partitionOf(ref.Task()), m.endedMsg(ref.Task(), outcome, true))
+	case !m.adopted():
+		m.deps.registry.Count("berth.early_confirm")
+	case m.blind():
+		outcome = outcome.WithCode(order.OutcomeUnknown).WithText("a worker of the group never answered")
+		m.post(partitionOf(ref.Task()), m.endedMsg(ref.Task(), outcome, false))
+	default:
+		// A confirmation that was delayed on its way must not start what was
+		// reported as not started.
+		m.settle(now, ref, true)
+		m.post(partitionOf(ref.Task()), m.endedMsg(ref.Task(), outcome, true))
+	}
+}
--- /dev/null
+++ b/crane/client.go
@@ -0,0 +1,255 @@
+package crane
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"chervilhollow/order"
+)
+
+type (
+	// Client calls one worker.
+	Client struct {
+		worker order.WorkerID
+		base   string
+		http   *http.Client
+	}
+
+	// guardedBody asks its check before each read. The transport reads the
+	// body after it has a connection and directly before it writes, so a
+	// check that fails keeps the request incomplete and the worker from
+	// acting on it.
+	guardedBody struct {
+		data   *bytes.Reader
+		check  func() error
+		failed error
+	}
+)
+
+const (
+	callTimeout     = time.Second
+	maxAnswer       = 64 << 20
+	connections     = 8
+	idleConnections = 4
+	idleTimeout     = 90 * time.Second
+)
+
+// NewClient returns a client for the worker at the base URL.
+func NewClient(worker order.WorkerID, base string) *Client {
+	dialer := &net.Dialer{Timeout: callTimeout, Control: setUserTimeout}
+	return &Client{
+		worker: worker,
+		base:   base,
+		http: &http.Client{Transport: &http.Transport{
+			DialContext:         dialer.DialContext,
+			MaxConnsPerHost:     connections,
+			MaxIdleConnsPerHost: idleConnections,
+			IdleConnTimeout:     idleTimeout,
+		}},
+	}
+}
+
+// Close closes the idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// Start starts a task. The check runs directly before the request is written;
+// its error is returned, wrapped with ErrNotSent. A start that the worker has
+// already executed succeeds again.
+func (c *Client) Start(ctx context.Context, s Start, check func() error) (Stamp, error) {
+	body, err := s.wire()
+	if err != nil {
+		return Stamp{}, fmt.Errorf("%w: %w", ErrNotSent, err)
+	}
+	var answer startedWire
+	err = c.call(ctx, http.MethodPost, "/v1/tasks", body, &answer, check)
+	return answer.Stamp.stamp(), err
+}
+
+// Tasks lists all tasks and retained outcomes. A worker with fence support
+// refuses lower epochs from then on.
+func (c *Client) Tasks(ctx context.Context, epoch order.Epoch) (Listing, error) {
+	var answer listingWire
+	path := fmt.Sprintf("/v1/tasks?epoch=%d", epoch)
+	if err := c.call(ctx, http.MethodGet, path, nil, &answer, nil); err != nil {
+		return Listing{}, err
+	}
+	var running []Running
+	for _, w := range answer.Running {
+		r, err := w.running()
+		if err != nil {
+			return Listing{}, err
+		}
+		running = append(running, r)
+	}
+	outcomes, err := outcomesOf(answer.Outcomes, c.worker)
+	return NewListing(answer.Stamp.stamp(), running, outcomes), err
+}
+
+// Renew extends the leases of all named attempts, to the lease after the
+// stamp. The check is as in Start.
+func (c *Client) Renew(ctx context.Context, epoch order.Epoch, lease time.Duration, asOf Stamp, refs []Ref, check func() error) (Renewal, error) {
+	body := renewWire{Epoch: epoch, Lease: lease.Milliseconds(), AsOf: asOf.wire(), Tasks: refsWire(refs)}
+	var answer renewalWire
+	err := c.call(ctx, http.MethodPost, "/v1/renew", body, &answer, check)
+	return NewRenewal(answer.Stamp.stamp(), refsOf(answer.Unknown)), err
+}
+
+// Events waits for task ends after the position.
+func (c *Client) Events(ctx context.Context, after uint64, wait time.Duration) (Events, error) {
+	var answer eventsWire
+	path := fmt.Sprintf("/v1/events?after=%d&wait_ms=%d", after, wait.Milliseconds())
+	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
+	defer cancel()
+	if err := c.exchange(ctx, http.MethodGet, path, nil, &answer, nil); err != nil {
+		return Events{}, err
+	}
+	outcomes, err := outcomesOf(answer.Outcomes, c.worker)
+	return NewEvents(answer.Stamp.stamp(), answer.Next, outcomes), err
+}
+
+// Ack lets the worker forget the outcomes of the attempts.
+func (c *Client) Ack(ctx context.Context, refs []Ref) error {
+	return c.call(ctx, http.MethodPost, "/v1/ack", ackWire{Tasks: refsWire(refs)}, nil, nil)
+}
+
+// Stop ends a running task.
+func (c *Client) Stop(ctx context.Context, epoch order.Epoch, ref Ref) error {
+	return c.control(ctx, "stop", epoch, ref, 0)
+}
+
+// Checkpoint saves the state of a running task and ends it.
+func (c *Client) Checkpoint(ctx context.Context, epoch order.Epoch, ref Ref) error {
+	return c.control(ctx, "checkpoint", epoch, ref, 0)
+}
+
+// Throttle limits a running task to a percentage of its size.
+func (c *Client) Throttle(ctx context.Context, epoch order.Epoch, ref Ref, percent int) error {
+	return c.control(ctx, "throttle", epoch, ref, percent)
+}
+
+// Usage returns the measured use of the running tasks. It lags.
+func (c *Client) Usage(ctx context.Context) ([]Use, error) {
+	var answer usageWire
+	if err := c.call(ctx, http.MethodGet, "/v1/usage", nil, &answer, nil); err != nil {
+		return nil, err
+	}
+	uses := make([]Use, 0, len(answer.Tasks))
+	for _, w := range answer.Tasks {
+		uses = append(uses, NewUse(w.ref(), w.Used.resources()))
+	}
+	return uses, nil
+}
+
+func (c *Client) control(ctx context.Context, verb string, epoch order.Epoch, ref Ref, percent int) error {
+	path := "/v1/tasks/" + url.PathEscape(string(ref.task)) + "/" + verb
+	body := controlWire{Attempt: ref.attempt, Epoch: epoch, Percent: percent}
+	return c.call(ctx, http.MethodPost, path, body, nil, nil)
+}
+
+func (c *Client) call(ctx context.Context, method, path string, body, answer any, check func() error) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return c.exchange(ctx, method, path, body, answer, check)
+}
+
+func (c *Client) exchange(ctx context.Context, method, path string, body, answer any, check func() error) error {
+	var connected atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
+	req, guarded, err := c.request(ctx, method, path, body, check)
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrNotSent, err)
+	}
+	resp, err := c.http.Do(req)
+	switch {
+	case err != nil && !connected.Load():
+		return fmt.Errorf("%w: %w", ErrNotSent, err)
+	case err != nil && errors.Is(err, errCheckFailed):
+		return fmt.Errorf("%w: %w", ErrNotSent, guarded.failed)
+	case err != nil:
+		return fmt.Errorf("%w: %w", ErrUncertain, err)
+	}
+	defer resp.Body.Close()
+	return readAnswer(resp, answer)
+}
+
+func (c *Client) request(ctx context.Context, method, path string, body any, check func() error) (*http.Request, *guardedBody, error) {
+	if body == nil {
+		req, err := http.NewRequestWithContext(ctx, method, c.base+path, http.NoBody)
+		return req, nil, err
+	}
+	data, err := json.Marshal(body)
+	if err != nil {
+		return nil, nil, err
+	}
+	guarded := &guardedBody{data: bytes.NewReader(data), check: check}
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, guarded)
+	if err != nil {
+		return nil, nil, err
+	}
+	req.ContentLength = int64(len(data))
+	req.Header.Set("Content-Type", "application/json")
+	return req, guarded, nil
+}
+
+var errCheckFailed = errors.New("check before the write failed")
+
+// Read implements io.Reader.
+func (b *guardedBody) Read(p []byte) (int, error) {
+	if b.check != nil && b.data.Len() > 0 {
+		if err := b.check(); err != nil {
+			b.failed = err
+			return 0, errCheckFailed
+		}
+	}
+	return b.data.Read(p)
+}
+
+// Close implements io.Closer.
+func (b *guardedBody) Close() error { return nil }
+
+func readAnswer(resp *http.Response, answer any) error {
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrUncertain, err)
+	}
+	if resp.StatusCode == http.StatusConflict || resp.StatusCode == http.StatusTooManyRequests {
+		var refusal refusalWire
+		if err := json.Unmarshal(data, &refusal); err != nil {
+			return fmt.Errorf("%w: refusal: %w", ErrUncertain, err)
+		}
+		return NewRefusedError(refusal.Reason)
+	}
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("%w: status %d", ErrUncertain, resp.StatusCode)
+	}
+	if answer == nil {
+		return nil
+	}
+	if err := json.Unmarshal(data, answer); err != nil {
+		return fmt.Errorf("%w: %w", ErrUncertain, err)
+	}
+	return nil
+}
+
+func setUserTimeout(_, _ string, conn syscall.RawConn) error {
+	var failed error
+	err := conn.Control(func(fd uintptr) {
+		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(UserTimeout.Milliseconds()))
+	})
+	return errors.Join(err, failed)
+}
--- a/order/schema_gen.go
+++ b/order/schema_gen.go
@@ -341,16 +341,17 @@
 	Outcome struct{ w outcomeWire }
 
 	outcomeWire struct {
-		Task     TaskID    `cbor:"1,keyasint,omitempty"`
-		Attempt  Attempt   `cbor:"2,keyasint,omitempty"`
-		Code     Code      `cbor:"3,keyasint,omitempty"`
-		Text     string    `cbor:"4,keyasint,omitempty"`
-		Body     []byte    `cbor:"5,keyasint,omitempty"`
-		Length   int       `cbor:"6,keyasint,omitempty"`
-		Checksum uint64    `cbor:"7,keyasint,omitempty"`
-		Worker   WorkerID  `cbor:"8,keyasint,omitempty"`
-		Started  time.Time `cbor:"9,keyasint,omitempty"`
-		Ended    time.Time `cbor:"10,keyasint,omitempty"`
+		Task         TaskID    `cbor:"1,keyasint,omitempty"`
+		Attempt      Attempt   `cbor:"2,keyasint,omitempty"`
+		Code         Code      `cbor:"3,keyasint,omitempty"`
+		Text         string    `cbor:"4,keyasint,omitempty"`
+		Body         []byte    `cbor:"5,keyasint,omitempty"`
+		Length       int       `cbor:"6,keyasint,omitempty"`
+		Checksum     uint64    `cbor:"7,keyasint,omitempty"`
+		Worker       WorkerID  `cbor:"8,keyasint,omitempty"`
+		Started      time.Time `cbor:"9,keyasint,omitempty"`
+		Ended        time.Time `cbor:"10,keyasint,omitempty"`
+		Checkpointed bool      `cbor:"11,keyasint,omitempty"`
 	}
 )
 
@@ -444,6 +445,15 @@
 	return x
 }
 
+// Checkpointed reports whether the task was checkpointed and resumes in its next attempt.
+func (x Outcome) Checkpointed() bool { return x.w.Checkpointed }
+
+// WithCheckpointed returns a copy with Checkpointed set.
+func (x Outcome) WithCheckpointed(v bool) Outcome {
+	x.w.Checkpointed = v
+	return x
+}
+
 // MarshalCBOR implements cbor.Marshaler.
 func (x Outcome) MarshalCBOR() ([]byte, error) { return marshal(x.w) }
 
--- /dev/null
+++ b/sample/worker_settings.go
@@ -0,0 +1,126 @@
+package sample
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/tailscale/hujson"
+
+	"chervilhollow/order"
+	"chervilhollow/roster"
+)
+
+type (
+	// WorkerSpec describes one worker of the stand-in.
+	WorkerSpec struct {
+		ID           order.WorkerID   `json:"id"`
+		Domain       order.DomainName `json:"domain"`
+		Rack         string           `json:"rack"`
+		Slots        int              `json:"slots"`
+		Connections  int              `json:"connections"`
+		MilliCores   order.MilliCores `json:"milli_cores"`
+		MemoryMB     int64            `json:"memory_mb"`
+		Accelerators int              `json:"accelerators"`
+		Fenced       bool             `json:"fenced"`
+	}
+
+	// WorkerPattern describes workers of one size: so many domains of so many
+	// racks of so many workers.
+	WorkerPattern struct {
+		Domains []order.DomainName `json:"domains"`
+		Racks   int                `json:"racks"`
+		PerRack int                `json:"per_rack"`
+		Size    WorkerSpec         `json:"size"`
+	}
+
+	// WorkerSettings is the settings file of the stand-in.
+	WorkerSettings struct {
+		Listen     string         `json:"listen"`
+		UsageLagMS int64          `json:"usage_lag_ms"`
+		Workers    []WorkerSpec   `json:"workers"`
+		Pattern    *WorkerPattern `json:"pattern"`
+	}
+)
+
+const defaultUsageLag = 2 * time.Second
+
+// LoadWorkerSettings reads a settings file: JSON with comments.
+func LoadWorkerSettings(path string) (WorkerSettings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return WorkerSettings{}, err
+	}
+	standard, err := hujson.Standardize(data)
+	if err != nil {
+		return WorkerSettings{}, fmt.Errorf("%s: %w", path, err)
+	}
+	var settings WorkerSettings
+	decoder := json.NewDecoder(bytes.NewReader(standard))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&settings); err != nil {
+		return WorkerSettings{}, fmt.Errorf("%s: %w", path, err)
+	}
+	return settings, settings.validate()
+}
+
+// All returns the listed workers and those of the pattern.
+func (s WorkerSettings) All() []WorkerSpec {
+	all := append([]WorkerSpec{}, s.Workers...)
+	if s.Pattern == nil {
+		return all
+	}
+	for _, domain := range s.Pattern.Domains {
+		for rack := range s.Pattern.Racks {
+			for i := range s.Pattern.PerRack {
+				spec := s.Pattern.Size
+				spec.Domain = domain
+				spec.Rack = fmt.Sprintf("r%d", rack+1)
+				spec.ID = order.WorkerID(fmt.Sprintf("%s-%s-%d", domain, spec.Rack, i+1))
+				all = append(all, spec)
+			}
+		}
+	}
+	return all
+}
+
+// Roster returns the workers as a host list shows them when the stand-in is
+// reached at the base URL.
+func (s WorkerSettings) Roster(base string) []roster.Worker {
+	var workers []roster.Worker
+	for _, spec := range s.All() {
+		size := order.Resources{}.
+			WithCores(spec.MilliCores).
+			WithMemory(order.Bytes(spec.MemoryMB << 20)).
+			WithAccelerators(spec.Accelerators)
+		workers = append(workers, roster.NewWorker(spec.ID, base+"/w/"+string(spec.ID), spec.Domain, spec.Rack).
+			WithSize(size, spec.Slots, spec.Connections).
+			WithFenced(spec.Fenced))
+	}
+	return workers
+}
+
+func (s WorkerSettings) lag() time.Duration {
+	if s.UsageLagMS == 0 {
+		return defaultUsageLag
+	}
+	return time.Duration(s.UsageLagMS) * time.Millisecond
+}
+
+func (s WorkerSettings) validate() error {
+	seen := make(map[order.WorkerID]bool)
+	for _, spec := range s.All() {
+		switch {
+		case spec.ID == "" || spec.Domain == "" || spec.Rack == "":
+			return fmt.Errorf("worker %q: id, domain and rack are required", spec.ID)
+		case spec.Slots <= 0 || spec.Connections <= 0:
+			return fmt.Errorf("worker %q: slots and connections must be positive", spec.ID)
+		case seen[spec.ID]:
+			return fmt.Errorf("worker %q is listed twice", spec.ID)
+		}
+		seen[spec.ID] = true
+	}
+	return nil
+}
