Run worker groups against the worker stand-in

The group bids, offers, starts, ends and adopts over real connections. The tests show that 60 tasks run once each, that a successor adopts a running task and that an outcome survives the owner. The stand-in reads the host list file as well and serves like the other stand-ins.

--- a/berth/entry.go
+++ b/berth/entry.go
@@ -1,7 +1,6 @@
 package berth
 
 import (
-	"strings"
 	"time"
 
 	"chervilhollow/crane"
@@ -61,20 +60,9 @@
 
 func (e *entry) leaseEnd() time.Time { return e.leaseBase.Add(taskLease + leaseMargin) }
 
-// Returns the request partition of a task from its ID, which has the form
-// team/request/index.
-func partitionOf(id order.TaskID) order.PartitionID {
-	text := string(id)
-	first, last := strings.Index(text, "/"), strings.LastIndex(text, "/")
-	if first < 0 || last <= first {
-		return ""
-	}
-	return order.RequestPartition(order.TeamName(text[:first]), order.RequestID(text[first+1:last]))
-}
-
 func requestPartitionOf(task order.Task) order.PartitionID {
 	if task.Partition() != "" {
 		return task.Partition()
 	}
-	return partitionOf(task.ID())
+	return task.ID().Partition()
 }
--- /dev/null
+++ b/berth/group_test.go
@@ -0,0 +1,285 @@
+package berth_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+	"go.uber.org/goleak"
+
+	"chervilhollow/berth"
+	"chervilhollow/depot"
+	"chervilhollow/gauge"
+	"chervilhollow/order"
+	"chervilhollow/roster"
+	"chervilhollow/sample"
+	"chervilhollow/sheet"
+	"chervilhollow/tide"
+)
+
+type (
+	// site is a worker stand-in with a group that places tasks on it.
+	site struct {
+		t        *testing.T
+		clock    tide.Clock
+		server   *httptest.Server
+		workers  *sample.Workers
+		roster   []roster.Worker
+		store    *depot.Memory
+		registry *gauge.Registry
+		queue    *fakeQueue
+		guard    fixedGuard
+
+		mu     sync.Mutex
+		config *sheet.Config
+	}
+
+	fixedGuard time.Duration
+
+	// fakeQueue is a request partition that confirms each offer and
+	// acknowledges each outcome.
+	fakeQueue struct {
+		mu      sync.Mutex
+		group   *berth.Group
+		silent  bool
+		started map[order.TaskID]order.WorkerID
+		ended   map[order.TaskID]order.EndedMsg
+		refused map[order.TaskID]order.Code
+		acks    []order.AllotAckMsg
+	}
+)
+
+const testGroup = order.GroupID("east/r1")
+
+// The metrics library runs one ticker for the whole process.
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m, goleak.IgnoreTopFunction("github.com/rcrowley/go-metrics.(*meterArbiter).tick"))
+}
+
+func (g fixedGuard) Remaining() time.Duration { return time.Duration(g) }
+
+func newSite(t *testing.T, workers int) *site {
+	settings := sample.WorkerSettings{UsageLagMS: 100, Pattern: &sample.WorkerPattern{
+		Domains: []order.DomainName{"east"},
+		Racks:   1,
+		PerRack: workers,
+		Size:    sample.WorkerSpec{Slots: 4, Connections: 16, MilliCores: 8000, MemoryMB: 8192, Fenced: true},
+	}}
+	clock := tide.New()
+	registry := gauge.New(zerolog.Nop())
+	registry.SetStrict(true)
+	s := &site{
+		t:        t,
+		clock:    clock,
+		workers:  sample.NewWorkers(clock, settings),
+		store:    depot.NewMemory(clock),
+		registry: registry,
+		guard:    fixedGuard(time.Hour),
+		config:   sheet.NewConfig(1).WithTeam(sheet.NewTeam("tags", 1, 100)),
+		queue: &fakeQueue{
+			started: make(map[order.TaskID]order.WorkerID),
+			ended:   make(map[order.TaskID]order.EndedMsg),
+			refused: make(map[order.TaskID]order.Code),
+		},
+	}
+	s.server = httptest.NewServer(s.workers)
+	s.roster = settings.Roster(s.server.URL)
+	s.allot("tags", 100, 100)
+	t.Cleanup(func() {
+		s.switchWorkers(`{"pause": false}`)
+		s.server.CloseClientConnections()
+		s.workers.Close()
+		s.server.Close()
+		http.DefaultClient.CloseIdleConnections()
+	})
+	return s
+}
+
+func (s *site) allot(team order.TeamName, limit, count int) {
+	record := fmt.Sprintf(`{"limit": %d, "version": 1, "groups": {"%s": %d}}`, limit, testGroup, count)
+	_, err := s.store.Swap(context.Background(), "allotment/"+string(team), 0, []byte(record), 0)
+	is.New(s.t).NoErr(err)
+}
+
+func (s *site) current() *sheet.Config {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.config
+}
+
+// Starts a group at the epoch and returns its stop function.
+func (s *site) run(epoch order.Epoch) (*berth.Group, func()) {
+	deps := berth.NewDeps(s.clock, s.registry, zerolog.Nop()).
+		WithGuard(s.guard).
+		WithPoster(s.queue).
+		WithStore(s.store).
+		WithConfig(s.current).
+		WithWorkers(func() []roster.Worker { return s.roster })
+	g := berth.New(testGroup, epoch, deps)
+	s.queue.mu.Lock()
+	s.queue.group = g
+	s.queue.mu.Unlock()
+	go func() { _ = g.Run(context.Background()) }()
+	return g, g.Close
+}
+
+func (s *site) switchWorkers(body string) {
+	resp, err := http.Post(s.server.URL+"/switch", "application/json", strings.NewReader(body))
+	is.New(s.t).NoErr(err)
+	_ = resp.Body.Close()
+}
+
+func (s *site) eventually(what string, cond func() bool) {
+	s.t.Helper()
+	deadline := time.Now().Add(20 * time.Second)
+	for !cond() {
+		if time.Now().After(deadline) {
+			s.t.Fatalf("timed out: %s", what)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// Post implements order.Poster.
+func (q *fakeQueue) Post(_ order.PartitionID, m order.Msg) error {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	partition := order.GroupPartition(testGroup)
+	switch m := m.(type) {
+	case order.OfferMsg:
+		q.group.Handle("", order.ConfirmMsg{}.WithPartition(partition).WithTask(m.Task()).WithAttempt(m.Attempt()))
+	case order.StartedMsg:
+		q.started[m.Task()] = m.Worker()
+	case order.BidRefusedMsg:
+		q.refused[m.Task()] = m.Code()
+	case order.AllotAckMsg:
+		q.acks = append(q.acks, m)
+	case order.EndedMsg:
+		if q.silent {
+			return nil
+		}
+		id := m.Outcome().Task()
+		if _, ok := q.ended[id]; !ok {
+			q.ended[id] = m
+		}
+		q.group.Handle("", order.EndedAckMsg{}.WithPartition(partition).WithTask(id).WithAttempt(m.Outcome().Attempt()))
+	}
+	return nil
+}
+
+func (q *fakeQueue) endedCount() int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return len(q.ended)
+}
+
+func (q *fakeQueue) endedOf(id order.TaskID) (order.EndedMsg, bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	m, ok := q.ended[id]
+	return m, ok
+}
+
+func (q *fakeQueue) startedOn(id order.TaskID) order.WorkerID {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.started[id]
+}
+
+func testTask(request string, cores order.MilliCores, payload string) order.Task {
+	id := order.NewTaskID("tags", order.RequestID(request), 0)
+	return order.Task{}.
+		WithID(id).
+		WithRequest(order.RequestID(request)).
+		WithPartition(id.Partition()).
+		WithTeam("tags").
+		WithKind(order.Batch).
+		WithSize(order.Resources{}.WithCores(cores).WithMemory(1 << 20)).
+		WithQueued(time.Now()).
+		WithPayload([]byte(payload))
+}
+
+func bid(g *berth.Group, task order.Task, attempt order.Attempt) {
+	g.Handle("", order.BidMsg{}.
+		WithPartition(order.GroupPartition(testGroup)).
+		WithTask(task).
+		WithAttempt(attempt))
+}
+
+// Guards against a group that loses, repeats or overlaps tasks in the normal
+// course: bid, offer, confirm, start, outcome, acknowledgement.
+func TestGroupRunsTasksOnce(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, 3)
+	g, stop := s.run(1)
+	defer stop()
+	const tasks = 60
+	for i := range tasks {
+		bid(g, testTask(fmt.Sprintf("r%d", i), 1000, fmt.Sprintf(`{"run_ms":5,"result":"out %d"}`, i)), 1)
+	}
+	s.eventually("all tasks end", func() bool { return s.queue.endedCount() == tasks })
+	audit := s.workers.Audit()
+	is.Equal(audit.Starts, tasks)
+	is.Equal(len(audit.Concurrent), 0)
+	is.Equal(len(audit.AboveRoom), 0)
+	ended, _ := s.queue.endedOf("tags/r7/0")
+	is.Equal(ended.Outcome().Code(), order.Done)
+	is.Equal(string(ended.Outcome().Body()), "out 7")
+	s.eventually("workers forget outcomes", func() bool { return len(g.Inventory("")) == 0 })
+	is.Equal(s.registry.Broken(), int64(0))
+}
+
+// Guards against a successor that starts running tasks again or loses their
+// outcomes.
+func TestGroupAdoptsRunningTasks(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, 2)
+	first, stop := s.run(1)
+	task := testTask("long", 1000, `{"run_ms":600,"result":"kept"}`)
+	bid(first, task, 1)
+	s.eventually("task starts", func() bool { return s.queue.startedOn(task.ID()) != "" })
+	stop()
+	second, stop := s.run(2)
+	defer stop()
+	s.eventually("successor knows all tasks", second.Adopted)
+	entries := second.Inventory(task.ID().Partition())
+	is.Equal(len(entries), 1)
+	is.Equal(entries[0].State(), order.TaskRunning)
+	is.Equal(second.Digest().Running()["tags"], 1)
+	s.eventually("outcome arrives", func() bool { return s.queue.endedCount() == 1 })
+	ended, _ := s.queue.endedOf(task.ID())
+	is.Equal(string(ended.Outcome().Body()), "kept")
+	is.Equal(s.workers.Audit().Starts, 1)
+}
+
+// Guards against an outcome that is lost because a process died between the
+// worker and the request partition.
+func TestOutcomeIsKeptUntilAcknowledged(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, 1)
+	s.queue.silent = true
+	first, stop := s.run(1)
+	task := testTask("short", 1000, `{"run_ms":1,"result":"kept"}`)
+	bid(first, task, 1)
+	s.eventually("task ends", func() bool {
+		entries := first.Inventory(task.ID().Partition())
+		return len(entries) == 1 && entries[0].State() == order.TaskEnded
+	})
+	stop()
+	s.queue.mu.Lock()
+	s.queue.silent = false
+	s.queue.mu.Unlock()
+	_, stop = s.run(2)
+	defer stop()
+	s.eventually("outcome arrives", func() bool { return s.queue.endedCount() == 1 })
+	ended, _ := s.queue.endedOf(task.ID())
+	is.Equal(string(ended.Outcome().Body()), "kept")
+	is.Equal(s.workers.Audit().Starts, 1)
+}
--- a/berth/outcomes.go
+++ b/berth/outcomes.go
@@ -62,7 +62,7 @@
 }
 
 func (m *machine) endedMsg(task order.TaskID, outcome order.Outcome, notStarted bool) order.EndedMsg {
-	partition := partitionOf(task)
+	partition := task.Partition()
 	if e, ok := m.entries[task]; ok {
 		partition = requestPartitionOf(e.task)
 	}
@@ -104,16 +104,16 @@
 	case settled && !known.notStarted:
 		m.deps.registry.Count("berth.duplicate_confirm")
 	case settled:
-		m.post(partitionOf(ref.Task()), m.endedMsg(ref.Task(), outcome, true))
+		m.post(ref.Task().Partition(), m.endedMsg(ref.Task(), outcome, true))
 	case !m.adopted():
 		m.deps.registry.Count("berth.early_confirm")
 	case m.blind():
 		outcome = outcome.WithCode(order.OutcomeUnknown).WithText("a worker of the group never answered")
-		m.post(partitionOf(ref.Task()), m.endedMsg(ref.Task(), outcome, false))
+		m.post(ref.Task().Partition(), m.endedMsg(ref.Task(), outcome, false))
 	default:
 		// A confirmation that was delayed on its way must not start what was
 		// reported as not started.
 		m.settle(now, ref, true)
-		m.post(partitionOf(ref.Task()), m.endedMsg(ref.Task(), outcome, true))
+		m.post(ref.Task().Partition(), m.endedMsg(ref.Task(), outcome, true))
 	}
 }
--- a/cmd/standin-worker/main.go
+++ b/cmd/standin-worker/main.go
@@ -4,27 +4,46 @@
 
 import (
 	"context"
-	"errors"
 	"flag"
 	"fmt"
-	"net/http"
+	"net"
 	"os"
 	"os/signal"
 	"strings"
 	"syscall"
-	"time"
 
 	"chervilhollow/order"
 	"chervilhollow/sample"
 	"chervilhollow/tide"
 )
 
-const headerTimeout = 10 * time.Second
+const usage = `standin-worker serves the worker protocol of many workers under /w/ID/v1/.
+
+The workers come from a settings file, from a host list file, or from a pattern
+(-domains and the flags of the size). A task's payload says how it runs:
+
+  {"run_ms": 20, "result": "text", "fail": false, "use": {"cores": 1.5}}
+
+POST /switch changes one worker or, without "worker", all of them:
+
+  {"worker": "east-r1-1", "fail": true, "refuse": true, "pause": true,
+   "crash": true, "slow_ms": 200, "drop_answers": true, "fenced": false}
+
+GET /audit tells which tasks ran more than once, in two places, or above the
+room of their worker; with ?all=1 it tells the runs of each task.
+
+Flags:
+`
 
 func main() {
-	settings, err := parse(os.Args[1:])
+	flags := flag.NewFlagSet("standin-worker", flag.ExitOnError)
+	flags.Usage = func() {
+		fmt.Fprint(flags.Output(), usage)
+		flags.PrintDefaults()
+	}
+	settings, err := parse(flags, os.Args[1:])
 	if err == nil {
-		err = serve(settings)
+		err = run(settings)
 	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "standin-worker:", err)
@@ -32,12 +51,12 @@
 	}
 }
 
-func parse(args []string) (sample.WorkerSettings, error) {
-	flags := flag.NewFlagSet("standin-worker", flag.ContinueOnError)
+func parse(flags *flag.FlagSet, args []string) (sample.WorkerSettings, error) {
 	file := flags.String("settings", "", "settings file (JSON with comments)")
-	listen := flags.String("listen", "", "address to listen on; overrides the file")
-	domains := flags.String("domains", "", "failure domains, separated by commas, of a generated pattern")
-	pattern := sample.WorkerPattern{Size: sample.WorkerSpec{}}
+	hosts := flags.String("hosts", "", "host list file, as standin-hosts reads it")
+	listen := flags.String("listen", "", "address to listen on, by IP number (default 127.0.0.1:7600)")
+	domains := flags.String("domains", "", "failure domains of the pattern, separated by commas")
+	var pattern sample.WorkerPattern
 	size := &pattern.Size
 	flags.IntVar(&pattern.Racks, "racks", 1, "racks in each domain")
 	flags.IntVar(&pattern.PerRack, "per-rack", 8, "workers in each rack")
@@ -50,16 +69,9 @@
 	if err := flags.Parse(args); err != nil {
 		return sample.WorkerSettings{}, err
 	}
-	settings := sample.WorkerSettings{Listen: "127.0.0.1:7500"}
-	if *file != "" {
-		loaded, err := sample.LoadWorkerSettings(*file)
-		if err != nil {
-			return settings, err
-		}
-		settings = loaded
-	}
-	if *listen != "" {
-		settings.Listen = *listen
+	settings, err := load(*file, *hosts)
+	if err != nil {
+		return settings, err
 	}
 	if *domains != "" {
 		for _, name := range strings.Split(*domains, ",") {
@@ -67,21 +79,36 @@
 		}
 		settings.Pattern = &pattern
 	}
-	return settings, nil
+	if *listen != "" {
+		settings.Listen = *listen
+	}
+	if settings.Listen == "" {
+		settings.Listen = "127.0.0.1:7600"
+	}
+	return settings, settings.Check()
 }
 
-func serve(settings sample.WorkerSettings) error {
-	workers := sample.NewWorkers(tide.New(), settings)
-	defer workers.Close()
-	server := &http.Server{Addr: settings.Listen, Handler: workers, ReadHeaderTimeout: headerTimeout}
+func load(file, hosts string) (sample.WorkerSettings, error) {
+	switch {
+	case file != "":
+		return sample.LoadWorkerSettings(file)
+	case hosts == "":
+		return sample.WorkerSettings{}, nil
+	}
+	data, err := os.ReadFile(hosts)
+	if err != nil {
+		return sample.WorkerSettings{}, err
+	}
+	list, err := sample.ParseHostFile(data)
+	return sample.WorkersOf(list), err
+}
+
+func run(settings sample.WorkerSettings) error {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	go func() {
-		<-ctx.Done()
-		_ = server.Close()
-	}()
-	if err := server.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
-		return err
-	}
-	return nil
+	workers := sample.NewWorkers(tide.New(), settings)
+	defer workers.Close()
+	return sample.Serve(ctx, settings.Listen, workers, func(address net.Addr) {
+		fmt.Printf("standin-worker: %d workers on %s\n", len(settings.All()), address)
+	})
 }
--- a/sample/worker_audit.go
+++ b/sample/worker_audit.go
@@ -1,7 +1,6 @@
 package sample
 
 import (
-	"encoding/json"
 	"io"
 	"net/http"
 	"sync"
@@ -124,14 +123,3 @@
 func readBody(rw http.ResponseWriter, r *http.Request) ([]byte, error) {
 	return io.ReadAll(http.MaxBytesReader(rw, r.Body, maxWorkerBody))
 }
-
-func writeJSON(rw http.ResponseWriter, status int, v any) {
-	data, err := json.Marshal(v)
-	if err != nil {
-		http.Error(rw, err.Error(), http.StatusInternalServerError)
-		return
-	}
-	rw.Header().Set("Content-Type", "application/json")
-	rw.WriteHeader(status)
-	_, _ = rw.Write(data)
-}
--- a/sample/worker_settings.go
+++ b/sample/worker_settings.go
@@ -45,7 +45,10 @@
 	}
 )
 
-const defaultUsageLag = 2 * time.Second
+const (
+	defaultUsageLag   = 2 * time.Second
+	milliCoresPerCore = 1000
+)
 
 // LoadWorkerSettings reads a settings file: JSON with comments.
 func LoadWorkerSettings(path string) (WorkerSettings, error) {
@@ -63,7 +66,7 @@
 	if err := decoder.Decode(&settings); err != nil {
 		return WorkerSettings{}, fmt.Errorf("%s: %w", path, err)
 	}
-	return settings, settings.validate()
+	return settings, settings.Check()
 }
 
 // All returns the listed workers and those of the pattern.
@@ -86,6 +89,26 @@
 	return all
 }
 
+// WorkersOf returns the settings for the workers of a host list file, whose
+// URLs end in /w/<id>.
+func WorkersOf(file HostFile) WorkerSettings {
+	var settings WorkerSettings
+	for _, w := range file.document.Workers {
+		settings.Workers = append(settings.Workers, WorkerSpec{
+			ID:           order.WorkerID(w.ID),
+			Domain:       order.DomainName(w.Domain),
+			Rack:         w.Rack,
+			Slots:        w.Slots,
+			Connections:  w.Connections,
+			MilliCores:   order.MilliCores(w.Cores * milliCoresPerCore),
+			MemoryMB:     w.Memory >> 20,
+			Accelerators: w.Accelerators,
+			Fenced:       w.Fenced,
+		})
+	}
+	return settings
+}
+
 // Roster returns the workers as a host list shows them when the stand-in is
 // reached at the base URL.
 func (s WorkerSettings) Roster(base string) []roster.Worker {
@@ -109,7 +132,8 @@
 	return time.Duration(s.UsageLagMS) * time.Millisecond
 }
 
-func (s WorkerSettings) validate() error {
+// Check reports the first fault of the settings.
+func (s WorkerSettings) Check() error {
 	seen := make(map[order.WorkerID]bool)
 	for _, spec := range s.All() {
 		switch {
--- a/sample/workers.go
+++ b/sample/workers.go
@@ -1,5 +1,3 @@
-// Package sample holds the stand-ins of the platform for tests and for trying
-// the system on one machine: workers, store and host list.
 package sample
 
 import (
