--- a/crane/client.go
+++ b/crane/client.go
@@ -49,12 +49,11 @@
 
 // NewClient returns a client for the worker at the base URL.
 func NewClient(worker order.WorkerID, base string) *Client {
-	dialer := &net.Dialer{Timeout: callTimeout, Control: setUserTimeout}
 	return &Client{
 		worker: worker,
 		base:   base,
 		http: &http.Client{Transport: &http.Transport{
-			DialContext:         dialer.DialContext,
+			DialContext:         newDialer().DialContext,
 			MaxConnsPerHost:     connections,
 			MaxIdleConnsPerHost: idleConnections,
 			IdleConnTimeout:     idleTimeout,
@@ -62,6 +61,10 @@
 	}
 }
 
+func newDialer() *net.Dialer {
+	return &net.Dialer{Timeout: callTimeout, Control: setUserTimeout}
+}
+
 // Close closes the idle connections.
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
