--- /dev/null
+++ b/cmd/standin-worker/main.go
@@ -0,0 +1,114 @@
+// Command standin-worker serves the worker protocol for tests and trials. One
+// process serves many workers, each below /w/<id>.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"net"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+
+	"chervilhollow/order"
+	"chervilhollow/sample"
+	"chervilhollow/tide"
+)
+
+const usage = `standin-worker serves the worker protocol of many workers under /w/ID/v1/.
+
+The workers come from a settings file, from a host list file, or from a pattern
+(-domains and the flags of the size). A task's payload says how it runs:
+
+  {"run_ms": 20, "result": "text", "fail": false, "use": {"cores": 1.5}}
+
+POST /switch changes one worker or, without "worker", all of them:
+
+  {"worker": "east-r1-1", "fail": true, "refuse": true, "pause": true,
+   "crash": true, "slow_ms": 200, "drop_answers": true, "fenced": false}
+
+GET /audit tells which tasks ran more than once, in two places, or above the
+room of their worker; with ?all=1 it tells the runs of each task.
+
+Flags:
+`
+
+func main() {
+	flags := flag.NewFlagSet("standin-worker", flag.ExitOnError)
+	flags.Usage = func() {
+		fmt.Fprint(flags.Output(), usage)
+		flags.PrintDefaults()
+	}
+	settings, err := parse(flags, os.Args[1:])
+	if err == nil {
+		err = run(settings)
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "standin-worker:", err)
+		os.Exit(1)
+	}
+}
+
+func parse(flags *flag.FlagSet, args []string) (sample.WorkerSettings, error) {
+	file := flags.String("settings", "", "settings file (JSON with comments)")
+	hosts := flags.String("hosts", "", "host list file, as standin-hosts reads it")
+	listen := flags.String("listen", "", "address to listen on, by IP number (default 127.0.0.1:7600)")
+	domains := flags.String("domains", "", "failure domains of the pattern, separated by commas")
+	var pattern sample.WorkerPattern
+	size := &pattern.Size
+	flags.IntVar(&pattern.Racks, "racks", 1, "racks in each domain")
+	flags.IntVar(&pattern.PerRack, "per-rack", 8, "workers in each rack")
+	flags.IntVar(&size.Slots, "slots", 8, "slots of a worker")
+	flags.IntVar(&size.Connections, "connections", 64, "connections of a worker")
+	flags.Int64Var((*int64)(&size.MilliCores), "milli-cores", 64000, "processors of a worker in thousandths")
+	flags.Int64Var(&size.MemoryMB, "memory-mb", 256<<10, "memory of a worker")
+	flags.IntVar(&size.Accelerators, "accelerators", 0, "accelerators of a worker")
+	flags.BoolVar(&size.Fenced, "fenced", true, "refuse starts of an older epoch")
+	if err := flags.Parse(args); err != nil {
+		return sample.WorkerSettings{}, err
+	}
+	settings, err := load(*file, *hosts)
+	if err != nil {
+		return settings, err
+	}
+	if *domains != "" {
+		for _, name := range strings.Split(*domains, ",") {
+			pattern.Domains = append(pattern.Domains, order.DomainName(name))
+		}
+		settings.Pattern = &pattern
+	}
+	if *listen != "" {
+		settings.Listen = *listen
+	}
+	if settings.Listen == "" {
+		settings.Listen = "127.0.0.1:7600"
+	}
+	return settings, settings.Check()
+}
+
+func load(file, hosts string) (sample.WorkerSettings, error) {
+	switch {
+	case file != "":
+		return sample.LoadWorkerSettings(file)
+	case hosts == "":
+		return sample.WorkerSettings{}, nil
+	}
+	data, err := os.ReadFile(hosts)
+	if err != nil {
+		return sample.WorkerSettings{}, err
+	}
+	list, err := sample.ParseHostFile(data)
+	return sample.WorkersOf(list), err
+}
+
+func run(settings sample.WorkerSettings) error {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	workers := sample.NewWorkers(tide.New(), settings)
+	defer workers.Close()
+	return sample.Serve(ctx, settings.Listen, workers, func(address net.Addr) {
+		fmt.Printf("standin-worker: %d workers on %s\n", len(settings.All()), address)
+	})
+}
