--- a/order/ids.go
+++ b/order/ids.go
@@ -41,7 +41,8 @@
 	// owner.
 	Epoch uint64
 
-	// Attempt counts the attempts to run a task, from one.
+	// Attempt identifies one attempt to run a task. Later attempts have higher
+	// numbers, also across owners of the request partition.
 	Attempt uint32
 
 	// Revision numbers the accepted configurations.
--- a/order/schema_gen.go
+++ b/order/schema_gen.go
@@ -1035,6 +1035,7 @@
 	submitMsgWire struct {
 		Partition PartitionID `cbor:"1,keyasint,omitempty"`
 		Request   Request     `cbor:"2,keyasint,omitempty"`
+		Sequence  uint64      `cbor:"3,keyasint,omitempty"`
 	}
 )
 
@@ -1056,6 +1057,15 @@
 	return x
 }
 
+// Sequence returns a number that the answers repeat.
+func (x SubmitMsg) Sequence() uint64 { return x.w.Sequence }
+
+// WithSequence returns a copy with Sequence set.
+func (x SubmitMsg) WithSequence(v uint64) SubmitMsg {
+	x.w.Sequence = v
+	return x
+}
+
 // MarshalCBOR implements cbor.Marshaler.
 func (x SubmitMsg) MarshalCBOR() ([]byte, error) { return marshal(x.w) }
 
@@ -1138,6 +1148,7 @@
 		Partition PartitionID `cbor:"1,keyasint,omitempty"`
 		Team      TeamName    `cbor:"2,keyasint,omitempty"`
 		Request   RequestID   `cbor:"3,keyasint,omitempty"`
+		Sequence  uint64      `cbor:"4,keyasint,omitempty"`
 	}
 )
 
@@ -1168,6 +1179,15 @@
 	return x
 }
 
+// Sequence returns a number that the answers repeat.
+func (x CancelMsg) Sequence() uint64 { return x.w.Sequence }
+
+// WithSequence returns a copy with Sequence set.
+func (x CancelMsg) WithSequence(v uint64) CancelMsg {
+	x.w.Sequence = v
+	return x
+}
+
 // MarshalCBOR implements cbor.Marshaler.
 func (x CancelMsg) MarshalCBOR() ([]byte, error) { return marshal(x.w) }
 
@@ -1184,6 +1204,7 @@
 		Team      TeamName  `cbor:"1,keyasint,omitempty"`
 		Request   RequestID `cbor:"2,keyasint,omitempty"`
 		Duplicate bool      `cbor:"3,keyasint,omitempty"`
+		Sequence  uint64    `cbor:"4,keyasint,omitempty"`
 	}
 )
 
@@ -1214,6 +1235,15 @@
 	return x
 }
 
+// Sequence returns the sequence of the submission.
+func (x AcceptedMsg) Sequence() uint64 { return x.w.Sequence }
+
+// WithSequence returns a copy with Sequence set.
+func (x AcceptedMsg) WithSequence(v uint64) AcceptedMsg {
+	x.w.Sequence = v
+	return x
+}
+
 // MarshalCBOR implements cbor.Marshaler.
 func (x AcceptedMsg) MarshalCBOR() ([]byte, error) { return marshal(x.w) }
 
@@ -1341,7 +1371,7 @@
 	return x
 }
 
-// Sequence returns the sequence of the status message it answers.
+// Sequence returns the sequence of the message it answers.
 func (x AnswerMsg) Sequence() uint64 { return x.w.Sequence }
 
 // WithSequence returns a copy with Sequence set.
@@ -1769,6 +1799,7 @@
 		Group      GroupID     `cbor:"2,keyasint,omitempty"`
 		Outcome    Outcome     `cbor:"3,keyasint,omitempty"`
 		NotStarted bool        `cbor:"4,keyasint,omitempty"`
+		Epoch      Epoch       `cbor:"5,keyasint,omitempty"`
 	}
 )
 
@@ -1808,6 +1839,15 @@
 	return x
 }
 
+// Epoch returns the epoch of the group that reports it.
+func (x EndedMsg) Epoch() Epoch { return x.w.Epoch }
+
+// WithEpoch returns a copy with Epoch set.
+func (x EndedMsg) WithEpoch(v Epoch) EndedMsg {
+	x.w.Epoch = v
+	return x
+}
+
 // MarshalCBOR implements cbor.Marshaler.
 func (x EndedMsg) MarshalCBOR() ([]byte, error) { return marshal(x.w) }
 
