--- a/order/ids.go
+++ b/order/ids.go
@@ -41,7 +41,8 @@
 	// owner.
 	Epoch uint64
 
-	// Attempt counts the attempts to run a task, from one.
+	// Attempt identifies one attempt to run a task. Later attempts have higher
+	// numbers, also across owners of the request partition.
 	Attempt uint32
 
 	// Revision numbers the accepted configurations.
@@ -124,3 +125,13 @@
 	address, _, _ := strings.Cut(string(m), "/")
 	return address
 }
+
+// Partition returns the request partition of the task.
+func (t TaskID) Partition() PartitionID {
+	team, rest, _ := strings.Cut(string(t), "/")
+	end := strings.LastIndex(rest, "/")
+	if end < 0 {
+		end = len(rest)
+	}
+	return RequestPartition(TeamName(team), RequestID(rest[:end]))
+}
