Add ctl, the operators' tool

Operators need to change the configuration and to know when a change is in force everywhere. A change is accepted when every registered process and every owner or standby named in a partition record reports its revision.

--- /dev/null
+++ b/cmd/ctl/main_test.go
@@ -0,0 +1,242 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"chervilhollow/depot"
+	"chervilhollow/harbour"
+	"chervilhollow/order"
+	"chervilhollow/sample"
+	"chervilhollow/sheet"
+	"chervilhollow/tide"
+)
+
+const hostFile = `{
+  "generate": {"count": 4, "domains": ["east", "west"], "workers_per_rack": 2,
+    "id": "w{n}", "url": "http://127.0.0.1:{port}", "first_port": 7700, "cores": 64},
+  "entry_hosts": [{"address": "10.0.0.1", "domain": "east"}, {"address": "10.0.0.2", "domain": "west"}],
+}`
+
+// cell is a store, a host list and processes that report revisions.
+type cell struct {
+	t     *testing.T
+	store *sample.Store
+	hosts string
+	at    string
+}
+
+func newCell(t *testing.T) *cell {
+	t.Helper()
+	file, err := sample.ParseHostFile([]byte(hostFile))
+	if err != nil {
+		t.Fatal(err)
+	}
+	hosts := httptest.NewServer(sample.NewHosts(tide.New(), file, sample.WithLag(0)))
+	t.Cleanup(hosts.Close)
+	store := sample.NewStore(tide.New())
+	server := httptest.NewServer(store)
+	t.Cleanup(server.Close)
+	return &cell{t: t, store: store, hosts: hosts.URL, at: server.URL}
+}
+
+// member registers a process that reports the given revision.
+func (c *cell) member(id order.MemberID, revision *atomic.Uint64) {
+	c.t.Helper()
+	admin := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		fmt.Fprintf(w, `{"revision":%d,"store_reachable":true}`, revision.Load())
+	}))
+	c.t.Cleanup(admin.Close)
+	m := member{ID: id, Role: "placer", Domain: "east", Admin: strings.TrimPrefix(admin.URL, "http://")}
+	c.put("member/"+string(id), m)
+}
+
+func (c *cell) put(key string, value any) {
+	c.t.Helper()
+	data, err := json.Marshal(value)
+	if err == nil {
+		_, err = c.store.Memory().Swap(context.Background(), key, 0, data, 0)
+	}
+	if err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+func (c *cell) ctl(args ...string) (int, string) {
+	c.t.Helper()
+	var out bytes.Buffer
+	args = append([]string{"--store", c.at, "--hosts", c.hosts, "--author", "anna"}, args...)
+	status := run(context.Background(), tide.New(), args, &out, &out)
+	return status, out.String()
+}
+
+func (c *cell) config() *sheet.Config {
+	c.t.Helper()
+	base, err := sheet.NewEditor(c.store.Memory(), tide.New()).Load(context.Background())
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	return base.Config()
+}
+
+// Guards against commands that do something else than they print.
+func TestCommands(t *testing.T) {
+	is := is.New(t)
+	c := newCell(t)
+	status, out := c.ctl("team", "set", "toys", "--share", "2", "--limit", "40")
+	is.Equal(status, exitDone)
+	is.True(strings.Contains(out, "recorded revision 1"))
+	is.True(strings.Contains(out, "accepted revision 1"))
+	status, out = c.ctl("key", "give", "toys")
+	is.Equal(status, exitDone)
+	secret := regexp.MustCompile(`secret (\S+)`).FindStringSubmatch(out)[1]
+	team, state := c.config().Authenticate(secret)
+	is.Equal(team, order.TeamName("toys"))
+	is.Equal(state, sheet.KeyValid)
+	status, _ = c.ctl("key", "withdraw", sheet.HashKey(secret))
+	is.Equal(status, exitDone)
+	_, state = c.config().Authenticate(secret)
+	is.Equal(state, sheet.KeyWithdrawn)
+	status, _ = c.ctl("domain", "out", "east")
+	is.Equal(status, exitDone)
+	is.True(!c.config().DomainOpen("east"))
+	status, out = c.ctl("domain", "out", "east")
+	is.Equal(status, exitDone)
+	is.True(strings.Contains(out, "nothing to change in revision 4"))
+	status, _ = c.ctl("domain", "back", "east")
+	is.Equal(status, exitDone)
+	is.True(c.config().DomainOpen("east"))
+	status, _ = c.ctl("team", "set", "--domains", "east,west", "toys")
+	is.Equal(status, exitDone)
+	toys, _ := c.config().Team("toys")
+	is.Equal(toys.Limit(), 40)
+	is.Equal(len(toys.Domains()), 2)
+	for _, args := range [][]string{{"show"}, {"show", "--json"}, {"hosts"}, {"members"}, {"wait", "6"}} {
+		status, out = c.ctl(args...)
+		is.Equal(status, exitDone)
+		is.True(out != "" || args[0] == "members")
+	}
+}
+
+// Guards against wrong input that changes something or looks like success.
+func TestCommandFaults(t *testing.T) {
+	is := is.New(t)
+	c := newCell(t)
+	for _, test := range []struct {
+		args   string
+		status int
+	}{
+		{"", exitUsage},
+		{"frobnicate", exitUsage},
+		{"key", exitUsage},
+		{"key give", exitUsage},
+		{"key give nobody", exitFailed},
+		{"key withdraw nothing", exitFailed},
+		{"domain out esat", exitFailed},
+		{"team set toys", exitUsage},
+		{"team set toys --share 0 --limit 3", exitFailed},
+		{"team set toys --share x --limit 3", exitUsage},
+		{"wait soon", exitUsage},
+		{"show --colour", exitUsage},
+		{"import missing.csv", exitFailed},
+		{"--help", exitDone},
+		{"team set --help", exitDone},
+		{"team set toys --help", exitDone},
+	} {
+		status, out := c.ctl(strings.Fields(test.args)...)
+		if status != test.status || out == "" {
+			t.Errorf("ctl %s: status %d, want %d: %s", test.args, status, test.status, out)
+		}
+	}
+	is.Equal(c.config().Revision(), order.Revision(0))
+}
+
+// Guards against an import that is applied in part, and faults that are not
+// all printed.
+func TestImport(t *testing.T) {
+	is := is.New(t)
+	c := newCell(t)
+	file := filepath.Join(t.TempDir(), "sheet.csv")
+	good := "type,name,value,state\nteam,toys,,\nshare,toys,2,\nlimit,toys,40,\ndomain,west,,out\n"
+	is.NoErr(os.WriteFile(file, []byte(good), 0o600))
+	status, _ := c.ctl("import", file)
+	is.Equal(status, exitDone)
+	is.Equal(c.config().Revision(), order.Revision(1))
+	is.True(!c.config().DomainOpen("west"))
+	is.NoErr(os.WriteFile(file, []byte(good+"limit,pets,x,\nkey,toys,y,\n"), 0o600))
+	status, out := c.ctl("import", file)
+	is.Equal(status, exitFailed)
+	is.True(strings.Contains(out, "row 6, column name: no team row for \"pets\""))
+	is.True(strings.Contains(out, "row 7, column value: a key must begin with"))
+	is.Equal(c.config().Revision(), order.Revision(1))
+}
+
+// Guards against "accepted" while a process that may act has an older
+// revision: one that is registered, or one that has lost its lease but is
+// still named in a partition record.
+func TestAcceptance(t *testing.T) {
+	is := is.New(t)
+	c := newCell(t)
+	var ready, behind atomic.Uint64
+	ready.Store(1)
+	c.member("10.0.0.1:1/01A", &ready)
+	c.member("10.0.0.2:1/01B", &behind)
+	c.put("partition/r/01", harbour.NewRecord("10.0.0.1:2/01C", "10.0.0.1:1/01A", 1))
+	c.put("partition/r/02", harbour.NewRecord("10.0.0.9:2/01D", "10.0.0.1:1/01A", 1))
+	status, out := c.ctl("--timeout", "1200ms", "team", "set", "toys", "--share", "2", "--limit", "40")
+	is.Equal(status, exitNotAccepted)
+	is.True(strings.Contains(out, "recorded revision 1"))
+	is.True(strings.Contains(out, "still missing: 10.0.0.1:2/01C (not registered, but named in a partition record), 10.0.0.2:1/01B (has revision 0)"))
+	is.True(!strings.Contains(out, "accepted revision"))
+	is.True(!strings.Contains(out, "10.0.0.9")) // the host list does not show it
+	behind.Store(1)
+	status, out = c.ctl("--timeout", "1200ms", "wait", "1")
+	is.Equal(status, exitNotAccepted)
+	is.True(strings.Contains(out, "01C"))
+	c.member("10.0.0.1:2/01E", &ready) // a later process at the same address
+	status, _ = c.ctl("wait", "1")
+	is.Equal(status, exitDone)
+}
+
+// Guards against a conflict or a lost answer that ends with the status of a
+// failure, and against a change that is recorded twice.
+func TestRecordingFaults(t *testing.T) {
+	is := is.New(t)
+	c := newCell(t)
+	c.store.Memory().LoseAnswers(1)
+	status, out := c.ctl("team", "set", "toys", "--share", "2", "--limit", "40")
+	is.Equal(status, exitDone)
+	is.True(strings.Contains(out, "recorded revision 1"))
+	is.Equal(c.config().Revision(), order.Revision(1))
+	c.store.Memory().SetFaults(func(kind depot.Call) depot.Fault {
+		if kind == depot.CallSwap {
+			return depot.FaultRequestLost
+		}
+		return depot.FaultNone
+	})
+	status, _ = c.ctl("--timeout", "500ms", "team", "set", "toys", "--limit", "41")
+	is.Equal(status, exitUncertain)
+	c.store.Memory().SetFaults(nil)
+	c.store.Memory().SetOutage(true)
+	status, _ = c.ctl("--timeout", "500ms", "team", "set", "toys", "--limit", "41")
+	is.Equal(status, exitFailed)
+	begin := time.Now()
+	time.AfterFunc(300*time.Millisecond, func() { c.store.Memory().SetOutage(false) })
+	status, _ = c.ctl("team", "set", "toys", "--limit", "41")
+	is.Equal(status, exitDone)
+	is.True(time.Since(begin) >= 300*time.Millisecond)
+	is.Equal(c.config().Revision(), order.Revision(2))
+}
--- a/sheet/reader.go
+++ b/sheet/reader.go
@@ -48,6 +48,9 @@
 // Config returns the configuration.
 func (b Base) Config() *Config { return b.config }
 
+// Changes returns the changes since the last snapshot, oldest first.
+func (b Base) Changes() []Change { return b.root.changes }
+
 // readBase reads the root record and what it takes to build its
 // configuration. It starts from the known configuration if that is new
 // enough.
