--- /dev/null
+++ b/window/admission_test.go
@@ -0,0 +1,174 @@
+package window_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+	"go.uber.org/goleak"
+
+	"chervilhollow/depot"
+	"chervilhollow/gauge"
+	"chervilhollow/order"
+	"chervilhollow/tide"
+	"chervilhollow/window"
+)
+
+// gateState is what the admission sees of its process.
+type gateState struct {
+	mu       sync.Mutex
+	until    time.Time
+	lost     bool
+	revision order.Revision
+}
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func (s *gateState) LeaseUntil() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.until
+}
+
+func (s *gateState) MostLostStore() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lost
+}
+
+func (s *gateState) Revision() order.Revision {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.revision
+}
+
+func (s *gateState) set(until time.Time, lost bool, revision order.Revision) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.until, s.lost, s.revision = until, lost, revision
+}
+
+func putRoot(t *testing.T, store depot.Store, revision order.Revision) {
+	t.Helper()
+	ctx := context.Background()
+	entry, err := store.Get(ctx, "config/root")
+	if err != nil {
+		t.Fatal(err)
+	}
+	value, _ := json.Marshal(map[string]any{"revision": revision})
+	if _, err := store.Swap(ctx, "config/root", entry.Version(), value, 0); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func eventually(t *testing.T, what string, cond func() bool) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); {
+		if cond() {
+			return
+		}
+		time.Sleep(2 * time.Millisecond)
+	}
+	t.Fatal("not seen: " + what)
+}
+
+// Guards against a gate that accepts a withdrawn key after its member record
+// ended and a change was therefore accepted without it.
+func TestAdmission(t *testing.T) {
+	is := is.New(t)
+	start := time.Now()
+	clock := tide.NewManual(start)
+	store := depot.NewMemory(clock)
+	putRoot(t, store, 5)
+	state := &gateState{}
+	a := window.NewAdmission(state, state, state.Revision, store, clock, zerolog.Nop())
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = a.Run(ctx)
+	}()
+	defer func() {
+		cancel()
+		<-done
+	}()
+	tick := func() bool {
+		clock.Advance(100 * time.Millisecond)
+		return a.MayAccept()
+	}
+	never := func() {
+		for range 20 {
+			is.True(!tick())
+			time.Sleep(time.Millisecond)
+		}
+	}
+	never()
+	state.set(clock.Now().Add(time.Minute), false, 4)
+	never()
+	state.set(clock.Now().Add(time.Minute), false, 5)
+	eventually(t, "acceptance with the configuration of the store", tick)
+
+	// The process pauses past its lease; on resuming, the lease is renewed
+	// before the newer configuration arrives.
+	putRoot(t, store, 6)
+	clock.Advance(2 * time.Minute)
+	state.set(clock.Now().Add(time.Minute), false, 5)
+	never()
+	state.set(clock.Now().Add(time.Minute), false, 6)
+	eventually(t, "acceptance after the pause", tick)
+
+	// The lease ends in a store outage that most members report.
+	clock.Advance(2 * time.Minute)
+	never()
+	state.set(time.Time{}, true, 6)
+	is.True(a.MayAccept())
+}
+
+// Guards against a gate that sends to a former owner after a change or an
+// outage of the store.
+func TestDirectory(t *testing.T) {
+	is := is.New(t)
+	clock := tide.New()
+	store := depot.NewMemory(clock)
+	put := func(partition order.PartitionID, owner string, epoch int) {
+		entry, err := store.Get(context.Background(), "partition/"+string(partition))
+		is.NoErr(err)
+		value := fmt.Sprintf(`{"owner":%q,"standby":"s","epoch":%d}`, owner, epoch)
+		_, err = store.Swap(context.Background(), entry.Key(), entry.Version(), []byte(value), 0)
+		is.NoErr(err)
+	}
+	put("r/03", "10.0.0.1:7000/a", 1)
+	put("g/east/1", "10.0.0.1:7000/a", 1)
+	d := window.NewDirectory(store, clock, gauge.New(zerolog.Nop()), zerolog.Nop())
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = d.Run(ctx)
+	}()
+	defer func() {
+		cancel()
+		<-done
+	}()
+	owns := func(owner order.MemberID, epoch order.Epoch) func() bool {
+		return func() bool {
+			o, e, ok := d.Owner("r/03")
+			return ok && o == owner && e == epoch
+		}
+	}
+	eventually(t, "first owner", owns("10.0.0.1:7000/a", 1))
+	put("r/03", "10.0.0.2:7000/b", 2)
+	eventually(t, "second owner", owns("10.0.0.2:7000/b", 2))
+	store.SetOutage(true)
+	is.True(owns("10.0.0.2:7000/b", 2)())
+	store.SetOutage(false)
+	put("r/03", "10.0.0.3:7000/c", 3)
+	eventually(t, "owner after the outage", owns("10.0.0.3:7000/c", 3))
+	_, _, ok := d.Owner("g/east/1")
+	is.True(!ok)
+}
