--- a/order/schema_gen.go
+++ b/order/schema_gen.go
@@ -341,16 +341,17 @@
 	Outcome struct{ w outcomeWire }
 
 	outcomeWire struct {
-		Task     TaskID    `cbor:"1,keyasint,omitempty"`
-		Attempt  Attempt   `cbor:"2,keyasint,omitempty"`
-		Code     Code      `cbor:"3,keyasint,omitempty"`
-		Text     string    `cbor:"4,keyasint,omitempty"`
-		Body     []byte    `cbor:"5,keyasint,omitempty"`
-		Length   int       `cbor:"6,keyasint,omitempty"`
-		Checksum uint64    `cbor:"7,keyasint,omitempty"`
-		Worker   WorkerID  `cbor:"8,keyasint,omitempty"`
-		Started  time.Time `cbor:"9,keyasint,omitempty"`
-		Ended    time.Time `cbor:"10,keyasint,omitempty"`
+		Task         TaskID    `cbor:"1,keyasint,omitempty"`
+		Attempt      Attempt   `cbor:"2,keyasint,omitempty"`
+		Code         Code      `cbor:"3,keyasint,omitempty"`
+		Text         string    `cbor:"4,keyasint,omitempty"`
+		Body         []byte    `cbor:"5,keyasint,omitempty"`
+		Length       int       `cbor:"6,keyasint,omitempty"`
+		Checksum     uint64    `cbor:"7,keyasint,omitempty"`
+		Worker       WorkerID  `cbor:"8,keyasint,omitempty"`
+		Started      time.Time `cbor:"9,keyasint,omitempty"`
+		Ended        time.Time `cbor:"10,keyasint,omitempty"`
+		Checkpointed bool      `cbor:"11,keyasint,omitempty"`
 	}
 )
 
@@ -444,6 +445,15 @@
 	return x
 }
 
+// Checkpointed reports whether the task was checkpointed and resumes in its next attempt.
+func (x Outcome) Checkpointed() bool { return x.w.Checkpointed }
+
+// WithCheckpointed returns a copy with Checkpointed set.
+func (x Outcome) WithCheckpointed(v bool) Outcome {
+	x.w.Checkpointed = v
+	return x
+}
+
 // MarshalCBOR implements cbor.Marshaler.
 func (x Outcome) MarshalCBOR() ([]byte, error) { return marshal(x.w) }
 
@@ -888,6 +898,7 @@
 		Partition PartitionID `cbor:"1,keyasint,omitempty"`
 		Epoch     Epoch       `cbor:"2,keyasint,omitempty"`
 		State     []byte      `cbor:"3,keyasint,omitempty"`
+		Handover  string      `cbor:"4,keyasint,omitempty"`
 	}
 )
 
@@ -918,6 +929,15 @@
 	return x
 }
 
+// Handover returns the identifier that the record of this handover carries.
+func (x HandoverMsg) Handover() string { return x.w.Handover }
+
+// WithHandover returns a copy with Handover set.
+func (x HandoverMsg) WithHandover(v string) HandoverMsg {
+	x.w.Handover = v
+	return x
+}
+
 // MarshalCBOR implements cbor.Marshaler.
 func (x HandoverMsg) MarshalCBOR() ([]byte, error) { return marshal(x.w) }
 
@@ -1035,6 +1055,7 @@
 	submitMsgWire struct {
 		Partition PartitionID `cbor:"1,keyasint,omitempty"`
 		Request   Request     `cbor:"2,keyasint,omitempty"`
+		Sequence  uint64      `cbor:"3,keyasint,omitempty"`
 	}
 )
 
@@ -1056,6 +1077,15 @@
 	return x
 }
 
+// Sequence returns a number that the answers repeat.
+func (x SubmitMsg) Sequence() uint64 { return x.w.Sequence }
+
+// WithSequence returns a copy with Sequence set.
+func (x SubmitMsg) WithSequence(v uint64) SubmitMsg {
+	x.w.Sequence = v
+	return x
+}
+
 // MarshalCBOR implements cbor.Marshaler.
 func (x SubmitMsg) MarshalCBOR() ([]byte, error) { return marshal(x.w) }
 
@@ -1169,7 +1199,7 @@
 	return x
 }
 
-// Sequence returns the number that the answer repeats.
+// Sequence returns a number that the answers repeat.
 func (x CancelMsg) Sequence() uint64 { return x.w.Sequence }
 
 // WithSequence returns a copy with Sequence set.
@@ -1194,6 +1224,7 @@
 		Team      TeamName  `cbor:"1,keyasint,omitempty"`
 		Request   RequestID `cbor:"2,keyasint,omitempty"`
 		Duplicate bool      `cbor:"3,keyasint,omitempty"`
+		Sequence  uint64    `cbor:"4,keyasint,omitempty"`
 	}
 )
 
@@ -1224,6 +1255,15 @@
 	return x
 }
 
+// Sequence returns the sequence of the submission.
+func (x AcceptedMsg) Sequence() uint64 { return x.w.Sequence }
+
+// WithSequence returns a copy with Sequence set.
+func (x AcceptedMsg) WithSequence(v uint64) AcceptedMsg {
+	x.w.Sequence = v
+	return x
+}
+
 // MarshalCBOR implements cbor.Marshaler.
 func (x AcceptedMsg) MarshalCBOR() ([]byte, error) { return marshal(x.w) }
 
@@ -1351,7 +1391,7 @@
 	return x
 }
 
-// Sequence returns the sequence of the status message it answers.
+// Sequence returns the sequence of the message it answers.
 func (x AnswerMsg) Sequence() uint64 { return x.w.Sequence }
 
 // WithSequence returns a copy with Sequence set.
@@ -1779,6 +1819,7 @@
 		Group      GroupID     `cbor:"2,keyasint,omitempty"`
 		Outcome    Outcome     `cbor:"3,keyasint,omitempty"`
 		NotStarted bool        `cbor:"4,keyasint,omitempty"`
+		Epoch      Epoch       `cbor:"5,keyasint,omitempty"`
 	}
 )
 
@@ -1818,6 +1859,15 @@
 	return x
 }
 
+// Epoch returns the epoch of the group that reports it.
+func (x EndedMsg) Epoch() Epoch { return x.w.Epoch }
+
+// WithEpoch returns a copy with Epoch set.
+func (x EndedMsg) WithEpoch(v Epoch) EndedMsg {
+	x.w.Epoch = v
+	return x
+}
+
 // MarshalCBOR implements cbor.Marshaler.
 func (x EndedMsg) MarshalCBOR() ([]byte, error) { return marshal(x.w) }
 
