Add the gate process

The gate joins links, configuration watch, membership, directory and callers' HTTP. Each copy of a submission carries its own sequence, because a partition takes a copy that arrives after a refusal for a new submission.

--- a/chart/chart.go
+++ b/chart/chart.go
@@ -54,6 +54,7 @@
 		CallTimeout     Duration `json:"call_timeout" help:"time a status or cancel call may take"`
 		ResendInterval  Duration `json:"resend_interval" help:"time without acknowledgement before a message is sent again"`
 		StopTimeout     Duration `json:"stop_timeout" help:"time that open requests get at a planned stop"`
+		StopLinger      Duration `json:"stop_linger" help:"time that new requests are still refused with an answer at a planned stop"`
 		TeamRate        float64  `json:"team_rate" help:"requests per second of one team at this gate"`
 		TeamBurst       int      `json:"team_burst" help:"requests of one team above the rate at once"`
 	}
@@ -96,6 +97,7 @@
 			CallTimeout:     Duration(5 * time.Second),
 			ResendInterval:  Duration(250 * time.Millisecond),
 			StopTimeout:     Duration(30 * time.Second),
+			StopLinger:      Duration(2 * time.Second),
 			TeamRate:        2000,
 			TeamBurst:       4000,
 		},
@@ -167,6 +169,9 @@
 	c.Positive("limits.call_timeout", float64(l.CallTimeout))
 	c.Positive("limits.resend_interval", float64(l.ResendInterval))
 	c.Positive("limits.stop_timeout", float64(l.StopTimeout))
+	if l.StopLinger < 0 {
+		c.Fault("limits.stop_linger", "must not be below zero")
+	}
 	c.Positive("limits.team_rate", l.TeamRate)
 	c.Positive("limits.team_burst", float64(l.TeamBurst))
 }
@@ -248,6 +253,10 @@
 // StopTimeout returns the time that open requests get at a planned stop.
 func (s Gate) StopTimeout() time.Duration { return time.Duration(s.w.Limits.StopTimeout) }
 
+// StopLinger returns how long new requests are still refused with an answer at
+// a planned stop.
+func (s Gate) StopLinger() time.Duration { return time.Duration(s.w.Limits.StopLinger) }
+
 // TeamRate returns the requests per second of one team at this gate.
 func (s Gate) TeamRate() float64 { return s.w.Limits.TeamRate }
 
--- /dev/null
+++ b/cmd/gate/main.go
@@ -0,0 +1,56 @@
+// Command gate takes requests of callers and forwards them to the placers.
+package main
+
+import (
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+
+	"github.com/rs/zerolog"
+
+	"chervilhollow/chart"
+	"chervilhollow/tide"
+	"chervilhollow/window"
+)
+
+// Exit codes.
+const (
+	exitFailed   = 1
+	exitSettings = 2
+)
+
+func main() {
+	command, err := chart.GateCommand(os.Args[1:], os.Stderr)
+	if errors.Is(err, flag.ErrHelp) {
+		return
+	}
+	if err != nil {
+		exit(exitSettings, err)
+	}
+	settings, err := command.Gate()
+	if err != nil {
+		exit(exitSettings, err)
+	}
+	if command.Check() {
+		fmt.Println("gate: the settings are valid")
+		return
+	}
+	level, err := zerolog.ParseLevel(settings.LogLevel())
+	if err != nil {
+		exit(exitSettings, err)
+	}
+	log := zerolog.New(os.Stderr).Level(level).With().Timestamp().Logger()
+	gate, err := window.NewGate(settings, tide.New(), log)
+	if err != nil {
+		exit(exitFailed, err)
+	}
+	if err := gate.Run(); err != nil {
+		exit(exitFailed, err)
+	}
+}
+
+func exit(code int, err error) {
+	fmt.Fprintln(os.Stderr, "gate:", err)
+	os.Exit(code)
+}
--- a/counter/calls.go
+++ b/counter/calls.go
@@ -56,8 +56,9 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	key := requestKey{s.request.Team(), s.request.ID()}
 	f := &flight{key: key, hash: s.hash, cancel: cancel, done: make(chan struct{})}
-	x := c.newExchange(key, c.submissionEnd(s), func(first bool) order.Msg {
+	x := c.newExchange(key, c.submissionEnd(s), func(sequence uint64, first bool) order.Msg {
 		return order.SubmitMsg{}.
+			WithSequence(sequence).
 			WithPartition(order.RequestPartition(key.team, key.id)).
 			WithRequest(s.request.WithFresh(first && s.madeID))
 	})
@@ -108,8 +109,7 @@
 	if !ok {
 		return newReply(order.UnknownRequest)
 	}
-	sequence := c.table.nextSequence()
-	x := c.newExchange(key, k.received.Add(max(wait, c.limits.callTimeout)), func(bool) order.Msg {
+	x := c.newExchange(key, k.received.Add(max(wait, c.limits.callTimeout)), func(sequence uint64, _ bool) order.Msg {
 		return order.StatusMsg{}.
 			WithPartition(order.RequestPartition(key.team, key.id)).
 			WithTeam(key.team).
@@ -117,7 +117,6 @@
 			WithFollow(wait > 0).
 			WithSequence(sequence)
 	})
-	x.sequence = sequence
 	x.follow = wait > 0
 	x.waitEnd = k.received.Add(wait)
 	r := x.run(k.r.Context())
@@ -143,15 +142,13 @@
 	if !ok {
 		return newReply(order.UnknownRequest)
 	}
-	sequence := c.table.nextSequence()
-	x := c.newExchange(key, k.received.Add(c.limits.callTimeout), func(bool) order.Msg {
+	x := c.newExchange(key, k.received.Add(c.limits.callTimeout), func(sequence uint64, _ bool) order.Msg {
 		return order.CancelMsg{}.
 			WithPartition(order.RequestPartition(key.team, key.id)).
 			WithTeam(key.team).
 			WithRequest(key.id).
 			WithSequence(sequence)
 	})
-	x.sequence = sequence
 	x.follow = true
 	x.waitEnd = x.end
 	r := x.run(k.r.Context())
--- a/counter/exchange.go
+++ b/counter/exchange.go
@@ -21,20 +21,19 @@
 		inbox     chan inbound
 		moved     chan struct{}
 
-		// message returns what is sent; first tells that nothing was handed
-		// over before.
-		message func(first bool) order.Msg
+		// message returns what is sent under the sequence; first tells that
+		// nothing was handed over before.
+		message func(sequence uint64, first bool) order.Msg
 
 		// submits tells that the exchange is a submission; detached, that it
 		// ends with the acknowledgement.
 		submits  bool
 		detached bool
 
-		// sequence marks the answers of a query; follow asks for the final
-		// answer as well, up to the end of the wait.
-		sequence uint64
-		follow   bool
-		waitEnd  time.Time
+		// follow asks for the final answer of a query as well, up to the end
+		// of the wait.
+		follow  bool
+		waitEnd time.Time
 
 		start    time.Time
 		end      time.Time
@@ -45,7 +44,8 @@
 		// copies of the request were sent that are not answered yet.
 		refusedAt time.Time
 
-		targets    map[order.MemberID]*target
+		copies     map[uint64]*sentCopy
+		handed     int
 		target     order.MemberID
 		hint       order.MemberID
 		hintEpoch  order.Epoch
@@ -55,11 +55,13 @@
 	}
 )
 
-// target counts the copies of a request that one process got and answered.
-type target struct {
-	sent     int
-	refused  int
-	accepted bool
+// sentCopy is one copy of the message. A query sends the same copy again, a
+// submission a new one.
+type sentCopy struct {
+	to      order.MemberID
+	number  int
+	handed  bool
+	settled bool
 }
 
 const (
@@ -82,7 +84,7 @@
 	notOwnerPause = 20 * time.Millisecond
 )
 
-func (c *Counter) newExchange(key requestKey, end time.Time, message func(first bool) order.Msg) *exchange {
+func (c *Counter) newExchange(key requestKey, end time.Time, message func(sequence uint64, first bool) order.Msg) *exchange {
 	return &exchange{
 		counter:   c,
 		key:       key,
@@ -93,7 +95,7 @@
 		start:     c.deps.clock.Now(),
 		end:       end,
 		interval:  c.limits.resend,
-		targets:   make(map[order.MemberID]*target),
+		copies:    make(map[uint64]*sentCopy),
 	}
 }
 
@@ -138,7 +140,7 @@
 		return x.end
 	case !x.refusedAt.IsZero():
 		return earlier(x.end.Add(x.counter.limits.grace), x.refusedAt.Add(settleTime))
-	case len(x.targets) > 0:
+	case x.handed > 0:
 		return x.end.Add(x.counter.limits.grace)
 	}
 	return earlier(x.end, x.start.Add(x.counter.limits.ownerWait))
@@ -193,14 +195,13 @@
 		x.counter.deps.registry.Count("counter.no_owner")
 		return reply{}, false
 	}
-	first := len(x.targets) == 0
-	err := x.counter.deps.sender.Send(owner, x.message(first))
+	sequence, sent := x.nextCopy(owner)
+	first := x.handed == 0
+	err := x.counter.deps.sender.Send(owner, x.message(sequence, first))
 	if err == nil {
 		x.target = owner
-		if x.targets[owner] == nil {
-			x.targets[owner] = &target{}
-		}
-		x.targets[owner].sent++
+		x.handed++
+		sent.handed = true
 		if !first {
 			x.counter.deps.registry.Count("counter.sent_again")
 		}
@@ -213,6 +214,22 @@
 	return reply{}, false
 }
 
+// nextCopy returns the sequence of the next copy and notes its receiver. It
+// does so before the copy is sent, because the answer may be faster than the
+// return of the call.
+func (x *exchange) nextCopy(to order.MemberID) (uint64, *sentCopy) {
+	if !x.submits {
+		for sequence, sent := range x.copies {
+			sent.to = to
+			return sequence, sent
+		}
+	}
+	sequence := x.counter.table.expect(x)
+	sent := &sentCopy{to: to, number: len(x.copies)}
+	x.copies[sequence] = sent
+	return sequence, sent
+}
+
 func (x *exchange) longestInterval() time.Duration {
 	if x.accepted {
 		return longestAcceptedInterval
@@ -220,24 +237,13 @@
 	return maxResendFactor * x.counter.limits.resend
 }
 
-// wantsAnswer reports whether the answer belongs to this exchange. Answers to
-// a query carry its sequence, so that they are not taken for the outcome of a
-// submission with the same ID; no submission ends with "unknown request".
-func (x *exchange) wantsAnswer(m order.AnswerMsg) bool {
-	if m.Sequence() != 0 {
-		return m.Sequence() == x.sequence
-	}
-	if x.submits {
-		return m.Code() != order.UnknownRequest
-	}
-	return m.Final() && x.follow
-}
-
 func (x *exchange) take(in inbound) (reply, bool) {
 	switch m := in.msg.(type) {
 	case order.AcceptedMsg:
-		return x.takeAccepted(in.from)
+		x.settle(in)
+		return x.takeAccepted()
 	case order.AnswerMsg:
+		x.settle(in)
 		return x.takeAnswer(in.from, m)
 	case order.NotOwnerMsg:
 		x.takeNotOwner(in.from, m)
@@ -245,10 +251,14 @@
 	return reply{}, false
 }
 
-func (x *exchange) takeAccepted(from order.MemberID) (reply, bool) {
-	if t, ok := x.targets[from]; ok {
-		t.accepted = true
+// settle notes that the copy was answered.
+func (x *exchange) settle(in inbound) {
+	if sent, ok := x.copies[in.sequence]; ok {
+		sent.settled = true
 	}
+}
+
+func (x *exchange) takeAccepted() (reply, bool) {
 	x.refusedAt = time.Time{}
 	if x.detached {
 		return newReply(order.Pending).withState(order.RequestQueued), true
@@ -307,24 +317,24 @@
 }
 
 // settled reports whether the answer ends the submission. A refusal does not
-// while copies of the request are not answered yet, because the owner may
-// accept one of them; once it accepted one, it recognises the others.
+// while another copy at the same process is not answered, because a partition
+// takes a copy that arrives after the refusal for a new submission.
 func (x *exchange) settled(from order.MemberID, code order.Code) bool {
 	if !x.conclusive(from, code) {
 		x.counter.deps.registry.Count("counter.dropped.foreign")
 		return false
 	}
-	t, ok := x.targets[from]
-	if !ok || code.Run() != order.RunNo || t.accepted {
+	if code.Run() != order.RunNo {
 		return true
 	}
-	t.refused++
-	if t.refused >= t.sent {
-		return true
+	for _, sent := range x.copies {
+		if sent.to == from && sent.handed && !sent.settled {
+			x.counter.deps.registry.Count("counter.refusal_unsettled")
+			x.refusedAt = x.counter.deps.clock.Now()
+			return false
+		}
 	}
-	x.counter.deps.registry.Count("counter.refusal_unsettled")
-	x.refusedAt = x.counter.deps.clock.Now()
-	return false
+	return true
 }
 
 // conclusive reports whether the answer settles the submission. Once several
@@ -344,15 +354,28 @@
 	}
 	x.counter.deps.registry.Count("counter.not_owner")
 	x.accepted = false
-	if t, ok := x.targets[from]; ok {
-		t.refused++
-	}
+	x.settleOldest(from)
 	if m.Owner() != "" && m.Owner() != from && m.Epoch() >= x.hintEpoch {
 		x.hint, x.hintEpoch = m.Owner(), m.Epoch()
 	}
 	x.resendSoon(notOwnerPause)
 }
 
+// settleOldest settles the first open copy at a process, because the notice of
+// a process that is not the owner does not carry a sequence.
+func (x *exchange) settleOldest(to order.MemberID) {
+	var oldest *sentCopy
+	for _, sent := range x.copies {
+		open := sent.to == to && sent.handed && !sent.settled
+		if open && (oldest == nil || sent.number < oldest.number) {
+			oldest = sent
+		}
+	}
+	if oldest != nil {
+		oldest.settled = true
+	}
+}
+
 // expired returns what is known when the time is over.
 func (x *exchange) expired() reply {
 	switch {
@@ -361,8 +384,8 @@
 	case !x.submits && x.accepted:
 		return pending(x.state)
 	case !x.submits:
-		return newReply(order.OutcomeUnknown).withText("No owner answered in time; ask again.")
-	case len(x.targets) == 0:
+		return newReply(order.OutcomeUnknown).withText("No answer came in time; ask again.")
+	case x.handed == 0:
 		return newReply(order.NoOwner)
 	}
 	return newReply(order.OutcomeUnknown)
@@ -370,7 +393,7 @@
 
 // stopped returns what is known when the process stops.
 func (x *exchange) stopped() reply {
-	if len(x.targets) == 0 || !x.submits {
+	if x.handed == 0 || !x.submits {
 		return newReply(order.Stopping)
 	}
 	return newReply(order.OutcomeUnknown).withText("The gate stopped before the answer came; send again with the same ID.")
--- a/counter/table.go
+++ b/counter/table.go
@@ -14,17 +14,20 @@
 	}
 
 	inbound struct {
-		from order.MemberID
-		msg  order.Msg
+		from     order.MemberID
+		sequence uint64
+		msg      order.Msg
 	}
 
-	// table holds the open exchanges by request ID, and the submissions that
-	// callers wait for.
+	// table holds the open exchanges and the submissions that callers wait
+	// for. Each message to a partition carries a sequence that its answers
+	// repeat, so an answer finds the one exchange it belongs to.
 	table struct {
 		registry *gauge.Registry
 
 		mu        sync.Mutex
 		sequence  uint64
+		waiting   map[uint64]*exchange
 		exchanges map[order.RequestID]map[*exchange]struct{}
 		flights   map[requestKey]*flight
 	}
@@ -33,18 +36,12 @@
 func newTable(registry *gauge.Registry) *table {
 	return &table{
 		registry:  registry,
+		waiting:   make(map[uint64]*exchange),
 		exchanges: make(map[order.RequestID]map[*exchange]struct{}),
 		flights:   make(map[requestKey]*flight),
 	}
 }
 
-func (t *table) nextSequence() uint64 {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.sequence++
-	return t.sequence
-}
-
 func (t *table) add(x *exchange) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -54,6 +51,15 @@
 	t.exchanges[x.key.id][x] = struct{}{}
 }
 
+// expect returns a new sequence whose answers go to the exchange.
+func (t *table) expect(x *exchange) uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.sequence++
+	t.waiting[t.sequence] = x
+	return t.sequence
+}
+
 func (t *table) remove(x *exchange) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -61,6 +67,9 @@
 	if len(t.exchanges[x.key.id]) == 0 {
 		delete(t.exchanges, x.key.id)
 	}
+	for sequence := range x.copies {
+		delete(t.waiting, sequence)
+	}
 }
 
 // join returns the flight of a request, and whether it was made now. It
@@ -123,11 +132,9 @@
 func (t *table) handle(from order.MemberID, m order.Msg) {
 	switch m := m.(type) {
 	case order.AcceptedMsg:
-		t.deliver(requestKey{m.Team(), m.Request()}, inbound{from, m}, wantsAccepted)
+		t.deliver(requestKey{m.Team(), m.Request()}, inbound{from, m.Sequence(), m})
 	case order.AnswerMsg:
-		t.deliver(requestKey{m.Team(), m.Request()}, inbound{from, m}, func(x *exchange) bool {
-			return x.wantsAnswer(m)
-		})
+		t.deliver(requestKey{m.Team(), m.Request()}, inbound{from, m.Sequence(), m})
 	case order.NotOwnerMsg:
 		t.deliverNotOwner(from, m)
 	default:
@@ -135,30 +142,30 @@
 	}
 }
 
-func wantsAccepted(x *exchange) bool { return x.submits }
-
-func (t *table) deliver(key requestKey, in inbound, wants func(*exchange) bool) {
+// deliver gives the message to the exchange with its sequence. A message that
+// names another request is foreign, one without exchange is late.
+func (t *table) deliver(key requestKey, in inbound) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	taken := false
-	for x := range t.exchanges[key.id] {
-		if x.key == key && wants(x) {
-			taken = true
-			t.push(x, in)
-		}
-	}
-	if !taken {
+	x, ok := t.waiting[in.sequence]
+	switch {
+	case !ok:
 		t.registry.Count("counter.dropped.late")
+	case x.key != key:
+		t.registry.Count("counter.dropped.foreign")
+	default:
+		t.push(x, in)
 	}
 }
 
-// deliverNotOwner matches without the team, which the notice does not carry.
+// deliverNotOwner matches without team and sequence, which the notice does not
+// carry.
 func (t *table) deliverNotOwner(from order.MemberID, m order.NotOwnerMsg) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for x := range t.exchanges[m.Request()] {
 		if x.partition == m.Partition() {
-			t.push(x, inbound{from, m})
+			t.push(x, inbound{from: from, msg: m})
 		}
 	}
 }
--- /dev/null
+++ b/window/gate_test.go
@@ -0,0 +1,270 @@
+package window_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"chervilhollow/chart"
+	"chervilhollow/depot"
+	"chervilhollow/ferry"
+	"chervilhollow/gauge"
+	"chervilhollow/order"
+	"chervilhollow/sample"
+	"chervilhollow/sheet"
+	"chervilhollow/tide"
+	"chervilhollow/window"
+)
+
+type (
+	// testCell is a store and one process that owns all request partitions.
+	testCell struct {
+		t      *testing.T
+		store  *httptest.Server
+		memory *depot.Memory
+		editor *sheet.Editor
+		placer *ferry.Node
+		held   atomic.Bool
+		mu     sync.Mutex
+		queue  []func()
+	}
+
+	testGate struct {
+		gate   *window.Gate
+		caller string
+		admin  string
+		done   chan error
+	}
+)
+
+const peerSecret = "0123456789abcdef"
+
+func newTestCell(t *testing.T) *testCell {
+	is := is.New(t)
+	standIn := sample.NewStore(tide.New())
+	c := &testCell{t: t, store: httptest.NewServer(standIn), memory: standIn.Memory()}
+	t.Cleanup(func() {
+		c.store.CloseClientConnections()
+		c.store.Close()
+	})
+	c.editor = sheet.NewEditor(c.memory, tide.New())
+	c.edit(sheet.SetTeam(sheet.NewTeam("toys", 1, 10)), sheet.GiveKey(sheet.NewKey(sheet.HashKey("toys-key"), "toys")))
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	id := order.NewMemberID(l.Addr().String())
+	c.placer = ferry.New(id, order.RolePlacer, "east", peerSecret, tide.New(), gauge.New(zerolog.Nop()), zerolog.Nop())
+	c.placer.OnMessage(c.handle)
+	go c.placer.Serve(l)
+	t.Cleanup(c.placer.Close)
+	for n := range order.RequestPartitions {
+		key := "partition/" + string(order.RequestPartitionAt(n))
+		_, err := c.memory.Swap(context.Background(), key, 0, []byte(fmt.Sprintf(`{"owner":%q,"epoch":1}`, id)), 0)
+		is.NoErr(err)
+	}
+	return c
+}
+
+func (c *testCell) edit(edits ...sheet.Edit) {
+	c.t.Helper()
+	_, err := c.editor.Edit(context.Background(), func(*sheet.Config) ([]sheet.Edit, error) { return edits, nil })
+	if err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+// handle answers each submission with its payload, or holds the answer back.
+func (c *testCell) handle(from order.MemberID, m order.Msg) {
+	s, ok := m.(order.SubmitMsg)
+	if !ok {
+		return
+	}
+	r := s.Request()
+	_ = c.placer.Send(from, order.AcceptedMsg{}.WithTeam(r.Team()).WithRequest(r.ID()).WithSequence(s.Sequence()))
+	answer := func() {
+		_ = c.placer.Send(from, order.AnswerMsg{}.
+			WithTeam(r.Team()).WithRequest(r.ID()).WithSequence(s.Sequence()).
+			WithFinal(true).WithState(order.RequestDone).
+			WithBody(r.Payload()).WithLength(len(r.Payload())).WithChecksum(xxhash.Sum64(r.Payload())))
+	}
+	if !c.held.Load() {
+		answer()
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.queue = append(c.queue, answer)
+}
+
+func (c *testCell) waiting() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.queue)
+}
+
+func (c *testCell) release() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, answer := range c.queue {
+		answer()
+	}
+	c.queue = nil
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func (c *testCell) startGate() *testGate {
+	t := c.t
+	t.Helper()
+	is := is.New(t)
+	g := &testGate{caller: freeAddress(t), admin: freeAddress(t), done: make(chan error, 1)}
+	settings, err := chart.ParseGate("gate.json", []byte(fmt.Sprintf(`{
+		"peer_address": %q, "caller_address": %q, "admin_address": %q,
+		"failure_domain": "east", "store_url": %q, "host_list_url": %q, "peer_secret": %q,
+		"limits": {"stop_linger": "200ms", "stop_timeout": "20s"}
+	}`, freeAddress(t), g.caller, g.admin, c.store.URL, c.store.URL, peerSecret)))
+	is.NoErr(err)
+	g.gate, err = window.NewGate(settings, tide.New(), zerolog.Nop())
+	is.NoErr(err)
+	go func() { g.done <- g.gate.Run() }()
+	t.Cleanup(func() {
+		g.gate.Stop()
+		http.DefaultClient.CloseIdleConnections()
+	})
+	eventually(t, "readiness", func() bool { return g.gate.Ready() == nil })
+	return g
+}
+
+func (g *testGate) submit(t *testing.T, key, payload string) (int, order.Code, string) {
+	t.Helper()
+	encoded, _ := json.Marshal([]byte(payload))
+	body := fmt.Sprintf(`{"kind":"batch","cores":1,"memory_mb":1,"payload":%s}`, encoded)
+	r, err := http.NewRequest(http.MethodPost, "http://"+g.caller+"/v1/requests", strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Header.Set("Authorization", "Bearer "+key)
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		t.Errorf("call was cut: %v", err)
+		return 0, order.Internal, ""
+	}
+	defer response.Body.Close()
+	var a struct {
+		Code   order.Code `json:"code"`
+		Result []byte     `json:"result"`
+	}
+	if err := json.NewDecoder(response.Body).Decode(&a); err != nil {
+		t.Errorf("answer was cut: %v", err)
+	}
+	return response.StatusCode, a.Code, string(a.Result)
+}
+
+func (g *testGate) get(t *testing.T, path string) (int, string) {
+	t.Helper()
+	response, err := http.Get("http://" + g.admin + path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	body, _ := io.ReadAll(response.Body)
+	return response.StatusCode, strings.TrimSpace(string(body))
+}
+
+// Guards against a gate whose parts do not work together, and against a
+// withdrawn key that keeps working.
+func TestGate(t *testing.T) {
+	is := is.New(t)
+	c := newTestCell(t)
+	g := c.startGate()
+	status, code, result := g.submit(t, "toys-key", "tag")
+	is.Equal(status, http.StatusOK)
+	is.Equal(code, order.Done)
+	is.Equal(result, "tag")
+	status, body := g.get(t, "/v1/revision")
+	is.Equal(status, http.StatusOK)
+	is.Equal(body, `{"revision":1,"store_reachable":true}`)
+	c.edit(sheet.WithdrawKey(sheet.NewKey(sheet.HashKey("toys-key"), "toys")))
+	start := time.Now()
+	eventually(t, "refusal of the withdrawn key", func() bool {
+		_, code, _ := g.submit(t, "toys-key", "tag")
+		return code == order.KeyWithdrawn
+	})
+	is.True(time.Since(start) < 3*time.Second)
+	g.gate.Stop()
+	is.NoErr(<-g.done)
+}
+
+// Guards against a planned stop that cuts open requests, takes new ones or
+// leaves the balancer sending.
+func TestGracefulStop(t *testing.T) {
+	is := is.New(t)
+	c := newTestCell(t)
+	g := c.startGate()
+	c.held.Store(true)
+	const open = 20
+	var ended sync.WaitGroup
+	for n := range open {
+		ended.Go(func() {
+			payload := fmt.Sprintf("tag %d", n)
+			if _, code, result := g.submit(t, "toys-key", payload); code != order.Done || result != payload {
+				t.Errorf("open request was answered with %s %q", code, result)
+			}
+		})
+	}
+	eventually(t, "open requests", func() bool { return c.waiting() == open })
+	is.NoErr(syscall.Kill(syscall.Getpid(), syscall.SIGTERM))
+	eventually(t, "unreadiness", func() bool { return g.gate.Ready() != nil })
+	status, body := g.get(t, "/ready")
+	is.Equal(status, http.StatusServiceUnavailable)
+	is.Equal(body, "stopping")
+	status, code, _ := g.submit(t, "toys-key", "late")
+	is.Equal(status, http.StatusServiceUnavailable)
+	is.Equal(code, order.Stopping)
+	select {
+	case <-g.done:
+		t.Fatal("the gate stopped with open requests")
+	case <-time.After(300 * time.Millisecond):
+	}
+	c.release()
+	ended.Wait()
+	is.NoErr(<-g.done)
+}
+
+// Guards against a gate that starts without one of its addresses.
+func TestAddressInUse(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer l.Close()
+	settings, err := chart.ParseGate("gate.json", []byte(fmt.Sprintf(`{
+		"peer_address": %q, "caller_address": %q, "admin_address": %q,
+		"failure_domain": "east", "store_url": "http://127.0.0.1:1", "host_list_url": "http://127.0.0.1:1",
+		"peer_secret": %q
+	}`, freeAddress(t), l.Addr(), freeAddress(t), peerSecret)))
+	is.NoErr(err)
+	_, err = window.NewGate(settings, tide.New(), zerolog.Nop())
+	is.True(err != nil)
+	is.True(strings.Contains(err.Error(), "caller_address"))
+}
