Simulate the worker group under faults

The decision code runs against simulated workers, owners and a request partition; the guarantees are checked against what the workers really run. It found that a successor reported an attempt as not started although it had run under the earlier owner on a worker that crashed since.

--- a/berth/adopt.go
+++ b/berth/adopt.go
@@ -37,7 +37,7 @@
 		known[crane.NewRef(ended.Outcome().Task(), ended.Outcome().Attempt())] = true
 		m.onOutcome(now, h, ended)
 	}
-	for _, e := range h.tasks {
+	for _, e := range m.inOrder(h.tasks) {
 		if e.live() && !known[e.ref()] {
 			m.onAbsent(now, e, list.Stamp())
 		}
--- a/berth/allotments.go
+++ b/berth/allotments.go
@@ -97,6 +97,7 @@
 		WithCount(inForce).
 		WithVersion(a.version).
 		WithRunning(live).
+		WithEpoch(m.epoch).
 		WithWaiting(m.bids.waitingOf(team))
 }
 
--- a/berth/entry.go
+++ b/berth/entry.go
@@ -49,6 +49,7 @@
 		until      time.Time
 		notStarted bool
 		expired    bool
+		unknown    bool
 	}
 )
 
--- a/berth/machine.go
+++ b/berth/machine.go
@@ -40,6 +40,7 @@
 	learned  map[learnKey]*learnedUse
 	records  map[learnKey]*record
 	commands []command
+	scratch  []*entry
 }
 
 const maxBids = 4096
@@ -92,6 +93,17 @@
 	return m.commands
 }
 
+// Returns the entries in order of task, so that equal inputs give equal
+// commands. The result is valid until the next call.
+func (m *machine) inOrder(entries map[order.TaskID]*entry) []*entry {
+	m.scratch = m.scratch[:0]
+	for _, e := range entries {
+		m.scratch = append(m.scratch, e)
+	}
+	slices.SortFunc(m.scratch, func(a, b *entry) int { return cmp.Compare(a.task.ID(), b.task.ID()) })
+	return m.scratch
+}
+
 func (m *machine) emit(c command) { m.commands = append(m.commands, c) }
 
 func (m *machine) post(partition order.PartitionID, msg order.Msg) {
@@ -200,17 +212,6 @@
 	return len(m.hosts) > 0 && m.unknownTasks() == 0
 }
 
-// Reports whether tasks of earlier owners may have run on workers that never
-// answered.
-func (m *machine) blind() bool {
-	for _, h := range m.hosts {
-		if h.state == hostLapsed {
-			return true
-		}
-	}
-	return false
-}
-
 func (m *machine) tickHost(now time.Time, h *host) {
 	if h.state == hostUnread && !now.Before(m.lapse()) {
 		h.state = hostLapsed
--- a/berth/outcomes.go
+++ b/berth/outcomes.go
@@ -96,24 +96,25 @@
 
 // Answers a message about an attempt that the group does not know. While
 // workers are unread the attempt may run there, so the sender has to ask
-// again; if some could never be read, its outcome is unknown.
+// again. An attempt that this owner never offered may have run under an
+// earlier owner, on a worker that has crashed or vanished since; only an offer
+// of its own that expired certainly did not start.
 func (m *machine) answerUnknown(now time.Time, ref crane.Ref, code order.Code, text string) {
-	known, settled := m.settled[ref]
-	outcome := order.Outcome{}.WithTask(ref.Task()).WithAttempt(ref.Attempt()).WithCode(code).WithText(text)
+	known, over := m.settled[ref]
+	outcome := order.Outcome{}.WithTask(ref.Task()).WithAttempt(ref.Attempt())
 	switch {
-	case settled && !known.notStarted:
+	case over && known.notStarted:
+		// A confirmation that was delayed on its way must not start what is
+		// reported as not started, so the attempt may not bid again.
+		m.settle(now, ref, true)
+		m.post(ref.Task().Partition(), m.endedMsg(ref.Task(), outcome.WithCode(code).WithText(text), true))
+	case over && !known.unknown:
 		m.deps.registry.Count("berth.duplicate_confirm")
-	case settled:
-		m.post(ref.Task().Partition(), m.endedMsg(ref.Task(), outcome, true))
 	case !m.adopted():
 		m.deps.registry.Count("berth.early_confirm")
-	case m.blind():
-		outcome = outcome.WithCode(order.OutcomeUnknown).WithText("a worker of the group never answered")
-		m.post(ref.Task().Partition(), m.endedMsg(ref.Task(), outcome, false))
 	default:
-		// A confirmation that was delayed on its way must not start what was
-		// reported as not started.
-		m.settle(now, ref, true)
-		m.post(ref.Task().Partition(), m.endedMsg(ref.Task(), outcome, true))
+		m.settled[ref] = settled{until: now.Add(settledPeriod), unknown: true}
+		outcome = outcome.WithCode(order.OutcomeUnknown).WithText("the offer was not made by this owner of the group")
+		m.post(ref.Task().Partition(), m.endedMsg(ref.Task(), outcome, false))
 	}
 }
--- a/berth/placement.go
+++ b/berth/placement.go
@@ -121,7 +121,7 @@
 		return
 	}
 	m.bidsAt = now.Add(bidPeriod)
-	for _, b := range m.bids.byTask {
+	for _, b := range m.bids.inOrder() {
 		if code, text := m.refusal(now, b.task); code != order.Done && code != order.QueueFull {
 			m.bids.remove(b.task.ID())
 			m.refuse(b.task, b.attempt, code, text)
--- a/berth/queue.go
+++ b/berth/queue.go
@@ -135,6 +135,15 @@
 	return q.scratch
 }
 
+func (q *queue) inOrder() []*bid {
+	list := make([]*bid, 0, len(q.byTask))
+	for _, b := range q.byTask {
+		list = append(list, b)
+	}
+	slices.SortFunc(list, compareBids)
+	return list
+}
+
 func (q *queue) waiting() map[order.TeamName]int {
 	counts := make(map[order.TeamName]int)
 	for _, teams := range q.classes {
--- /dev/null
+++ b/berth/sim_owner_test.go
@@ -0,0 +1,223 @@
+package berth
+
+import (
+	"fmt"
+	"time"
+
+	"chervilhollow/crane"
+	"chervilhollow/order"
+	"chervilhollow/roster"
+	"chervilhollow/sheet"
+
+	"github.com/rs/zerolog"
+)
+
+// simOwner is one process that owns, or believes to own, the group. It
+// executes the commands of the real decision code.
+type simOwner struct {
+	s          *sim
+	epoch      order.Epoch
+	machine    *machine
+	guardUntil time.Time
+	renewing   bool
+	paused     bool
+	dead       bool
+	backlog    []func()
+}
+
+func newSimOwner(s *sim, epoch order.Epoch) *simOwner {
+	o := &simOwner{s: s, epoch: epoch, renewing: true, guardUntil: s.now.Add(promise)}
+	deps := NewDeps(nil, s.registry, zerolog.Nop()).
+		WithGuard(o).
+		WithConfig(func() *sheet.Config { return s.config }).
+		WithWorkers(s.roster).
+		WithPermit(func() bool { return true })
+	o.machine = newMachine(simGroup, epoch, deps, s.now)
+	o.tick()
+	return o
+}
+
+// Remaining implements order.Guard.
+func (o *simOwner) Remaining() time.Duration { return max(0, o.guardUntil.Sub(o.s.now)) }
+
+func (o *simOwner) tick() {
+	if o.dead {
+		return
+	}
+	if o.renewing && !o.paused {
+		o.guardUntil = o.s.now.Add(promise)
+	}
+	o.deliver(tickEvent{})
+	o.s.after(tickPeriod, o.tick)
+}
+
+// Runs when the process does: at once, or after its pause.
+func (o *simOwner) run(act func()) {
+	switch {
+	case o.dead:
+	case o.paused:
+		o.backlog = append(o.backlog, act)
+	default:
+		act()
+	}
+}
+
+func (o *simOwner) wake() {
+	o.paused = false
+	backlog := o.backlog
+	o.backlog = nil
+	for _, act := range backlog {
+		act()
+	}
+}
+
+func (o *simOwner) deliver(ev event) {
+	o.run(func() {
+		for _, c := range append([]command{}, o.machine.step(o.s.now, ev)...) {
+			o.execute(c)
+		}
+	})
+}
+
+func (o *simOwner) execute(c command) {
+	switch c := c.(type) {
+	case postCommand:
+		o.s.send(func() { o.s.onPost(o, c.message) })
+	case startCommand:
+		o.start(c)
+	case readAllotmentsCommand:
+		o.s.after(o.s.delay(), func() { o.deliver(o.s.readAllotments()) })
+	case dropCommand:
+	default:
+		o.executeCall(c)
+	}
+}
+
+func (o *simOwner) start(c startCommand) {
+	w := o.s.byID[c.worker]
+	ref := crane.NewRef(c.start.Task().ID(), c.start.Attempt())
+	check := func() error {
+		if err := mayWrite(o.machine.deps, simGroup, c.worker); err != nil {
+			return err
+		}
+		return nil
+	}
+	o.call(w, check, func() { o.s.checkWrite(o, w, ref) }, time.Second, func() event {
+		stamp, err := w.startTask(c.start)
+		return startResult{worker: c.worker, ref: ref, stamp: stamp, err: err}
+	}, func(err error) event { return startResult{worker: c.worker, ref: ref, err: err} })
+}
+
+func (o *simOwner) executeCall(c command) {
+	none := func() error { return nil }
+	switch c := c.(type) {
+	case listCommand:
+		w := o.s.byID[c.worker]
+		o.call(w, none, nil, time.Second, func() event {
+			listing, err := w.list(o.epoch)
+			return listResult{worker: c.worker, listing: listing, err: err}
+		}, func(err error) event { return listResult{worker: c.worker, err: err} })
+	case renewCommand:
+		w := o.s.byID[c.worker]
+		check := func() error { return mayRenew(o.machine.deps) }
+		o.call(w, check, nil, time.Second, func() event {
+			renewal, err := w.renew(o.epoch, c.stamp, c.refs)
+			return renewResult{worker: c.worker, renewal: renewal, err: err}
+		}, func(err error) event { return renewResult{worker: c.worker, err: err} })
+	case pollCommand:
+		o.poll(c)
+	case ackCommand:
+		w := o.s.byID[c.worker]
+		o.call(w, none, nil, time.Second, func() event {
+			w.ack(c.refs)
+			return ackResult{worker: c.worker, refs: c.refs}
+		}, func(err error) event { return ackResult{worker: c.worker, refs: c.refs, err: err} })
+	case stopCommand:
+		w := o.s.byID[c.worker]
+		o.call(w, none, nil, time.Second, func() event {
+			if w.spec.Fenced() && o.epoch < w.fence {
+				return nil
+			}
+			w.stop(c.ref, c.checkpoint)
+			return nil
+		}, func(error) event { return nil })
+	case usageCommand:
+		w := o.s.byID[c.worker]
+		o.call(w, none, nil, time.Second, func() event {
+			return usageResult{worker: c.worker, uses: w.usage()}
+		}, func(err error) event { return usageResult{worker: c.worker, err: err} })
+	default:
+		panic(fmt.Sprintf("unexpected command %T", c))
+	}
+}
+
+// Executes a long poll as a short one that repeats at the worker.
+func (o *simOwner) poll(c pollCommand) {
+	w := o.s.byID[c.worker]
+	none := func() error { return nil }
+	o.call(w, none, nil, time.Second, func() event {
+		return pollResult{worker: c.worker, events: crane.NewEvents(w.stamp(), w.sequence, w.outcomes(c.after))}
+	}, func(err error) event { return pollResult{worker: c.worker, err: err} })
+}
+
+// Sends a request that may be refused by the check, refused by the network,
+// lost on either way, or answered after the caller has given up.
+func (o *simOwner) call(w *simWorker, check func() error, wrote func(), timeout time.Duration, act func() event, failed func(error) event) {
+	o.s.after(o.s.delay(), func() {
+		o.run(func() {
+			if err := check(); err != nil {
+				o.answer(failed(fmt.Errorf("%w: %w", crane.ErrNotSent, err)))
+				return
+			}
+			if w.cut && o.s.rng.IntN(2) == 0 {
+				o.answer(failed(crane.ErrNotSent))
+				return
+			}
+			if wrote != nil {
+				wrote()
+			}
+			o.exchange(w, timeout, act, failed)
+		})
+	})
+}
+
+func (o *simOwner) answer(ev event) {
+	if ev != nil {
+		o.deliver(ev)
+	}
+}
+
+// Carries a written request to the worker and its answer back.
+func (o *simOwner) exchange(w *simWorker, timeout time.Duration, act func() event, failed func(error) event) {
+	finished := false
+	finish := func(ev event) {
+		if !finished {
+			finished = true
+			o.answer(ev)
+		}
+	}
+	o.s.after(timeout, func() { finish(failed(crane.ErrUncertain)) })
+	o.s.transmit(w, func() {
+		w.process(func() {
+			ev := act()
+			o.s.transmit(w, func() { finish(ev) })
+		})
+	})
+}
+
+// Drops a message that arrives while the link to the worker is cut.
+func (s *sim) transmit(w *simWorker, act func()) {
+	s.send(func() {
+		if !w.cut {
+			act()
+		}
+	})
+}
+
+func (s *sim) roster() []roster.Worker {
+	list := make([]roster.Worker, 0, len(s.workers))
+	for _, w := range s.workers {
+		list = append(list, w.spec)
+	}
+	return list
+}
--- /dev/null
+++ b/berth/sim_test.go
@@ -0,0 +1,238 @@
+package berth
+
+import (
+	"cmp"
+	"container/heap"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/rs/zerolog"
+	"pgregory.net/rapid"
+
+	"chervilhollow/crane"
+	"chervilhollow/gauge"
+	"chervilhollow/order"
+	"chervilhollow/roster"
+	"chervilhollow/sheet"
+)
+
+type (
+	// sim is a simulated group: workers, owners and one request partition
+	// around the real decision code. It checks the guarantees against what
+	// really happens on the workers, not against the owners' accounts.
+	sim struct {
+		t        *rapid.T
+		rng      *rand.Rand
+		now      time.Time
+		agenda   agenda
+		sequence int
+		registry *gauge.Registry
+		config   *sheet.Config
+		loss     float64
+
+		workers []*simWorker
+		byID    map[order.WorkerID]*simWorker
+		owner   *simOwner
+		former  []*simOwner
+
+		tasks      map[order.TaskID]*simTask
+		recorded   map[order.TeamName]allotment
+		lowering   map[order.TeamName]allotment
+		ran        map[crane.Ref]bool
+		notStarted map[crane.Ref]bool
+		starts     int
+	}
+
+	simTask struct {
+		task    order.Task
+		attempt order.Attempt
+		phase   simPhase
+		epoch   order.Epoch
+		cancel  bool
+		gang    bool
+		code    order.Code
+	}
+
+	simPhase uint8
+
+	appointment struct {
+		at       time.Time
+		sequence int
+		act      func()
+	}
+
+	agenda []appointment
+)
+
+const (
+	phaseBidding simPhase = iota
+	phaseConfirmed
+	phaseRunning
+	phaseDone
+)
+
+const (
+	simGroup      = order.GroupID("east/r1")
+	simDomain     = order.DomainName("east")
+	promise       = 1500 * time.Millisecond
+	partitionTick = 500 * time.Millisecond
+	longestFlight = 450 * time.Millisecond
+	simLimit      = 12
+)
+
+var (
+	simTeams = []order.TeamName{"barges", "tags"}
+
+	// Declared sizes are wrong by a factor of ten either way.
+	useFactors = map[order.TeamName]float64{"barges": 10, "tags": 0.1}
+)
+
+func newSim(t *rapid.T) *sim {
+	s := &sim{
+		t:          t,
+		rng:        rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1)),
+		now:        time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC),
+		registry:   gauge.New(zerolog.Nop()),
+		config:     sheet.NewConfig(1),
+		byID:       make(map[order.WorkerID]*simWorker),
+		tasks:      make(map[order.TaskID]*simTask),
+		recorded:   make(map[order.TeamName]allotment),
+		lowering:   make(map[order.TeamName]allotment),
+		ran:        make(map[crane.Ref]bool),
+		notStarted: make(map[crane.Ref]bool),
+	}
+	s.registry.SetStrict(true)
+	for i := range 4 {
+		size := order.Resources{}.WithCores(4000).WithMemory(4 << 30)
+		if i == 3 {
+			size = size.WithAccelerators(2)
+		}
+		spec := roster.NewWorker(order.WorkerID(fmt.Sprintf("w%d", i)), "", simDomain, "r1").
+			WithSize(size, 3, 8).
+			WithFenced(i%2 == 0)
+		w := newSimWorker(s, spec)
+		s.workers = append(s.workers, w)
+		s.byID[spec.ID()] = w
+	}
+	for _, team := range simTeams {
+		s.config = s.config.WithTeam(sheet.NewTeam(team, 1, simLimit))
+		s.recorded[team] = allotment{count: 4, version: 1, limit: simLimit}
+	}
+	s.owner = newSimOwner(s, 1)
+	s.after(partitionTick, s.tickPartition)
+	return s
+}
+
+func (s *sim) after(d time.Duration, act func()) {
+	s.sequence++
+	heap.Push(&s.agenda, appointment{at: s.now.Add(d), sequence: s.sequence, act: act})
+}
+
+func (s *sim) advance(d time.Duration) {
+	end := s.now.Add(d)
+	for len(s.agenda) > 0 && !s.agenda[0].at.After(end) {
+		next := heap.Pop(&s.agenda).(appointment)
+		s.now = next.at
+		next.act()
+	}
+	s.now = end
+}
+
+// Most messages are quick; a few take as long as the kernel may hold them.
+func (s *sim) delay() time.Duration {
+	if s.rng.IntN(10) == 0 {
+		return time.Duration(s.rng.Int64N(int64(longestFlight)))
+	}
+	return time.Duration(s.rng.Int64N(int64(5 * time.Millisecond)))
+}
+
+func (s *sim) send(act func()) {
+	if s.rng.Float64() < s.loss {
+		return
+	}
+	s.after(s.delay(), act)
+}
+
+func (s *sim) runTime(w *simWorker) time.Duration {
+	if w.failing {
+		return time.Millisecond
+	}
+	if s.rng.IntN(4) == 0 {
+		return time.Duration(s.rng.Int64N(int64(20 * time.Second)))
+	}
+	return time.Duration(s.rng.Int64N(int64(time.Second)))
+}
+
+func (s *sim) toOwner(msg order.Msg) {
+	s.send(func() { s.owner.deliver(messageEvent{message: msg}) })
+}
+
+// Checks a start directly after it was written: G2, G5 and G9.
+func (s *sim) checkWrite(o *simOwner, w *simWorker, ref crane.Ref) {
+	s.registry.Invariant(o.Remaining() > crane.UserTimeout, "G2", "start of %v written with %s of the guard left", ref, o.Remaining())
+	s.registry.Invariant(s.config.DomainOpen(simDomain), "G5", "start of %v written in a closed domain", ref)
+	s.registry.Invariant(!w.spec.Leaving(), "G9", "start of %v written to a leaving worker", ref)
+}
+
+// Checks a task that a worker begins to run: G1, G2, G4, G7 and G8.
+func (s *sim) checkRun(w *simWorker, start crane.Start) {
+	id := start.Task().ID()
+	ref := crane.NewRef(id, start.Attempt())
+	s.starts++
+	var reserved amount
+	for _, r := range w.running {
+		reserved = reserved.plus(newAmount(r.start.Reserved()))
+	}
+	s.registry.Invariant(reserved.fitsIn(newAmount(w.spec.Size())) && len(w.running) <= w.spec.Slots(), "G1",
+		"worker %s runs %d tasks of %v", w.spec.ID(), len(w.running), reserved)
+	team, running := start.Task().Team(), 0
+	for _, other := range s.workers {
+		s.registry.Invariant(other == w || !other.runsTask(id), "G2", "task %s runs on %s and %s", id, other.spec.ID(), w.spec.ID())
+		for _, r := range other.running {
+			if r.start.Task().Team() == team && r.lease.After(s.now) {
+				running++
+			}
+		}
+	}
+	s.registry.Invariant(running <= s.recorded[team].count, "G4",
+		"team %s runs %d of %d", team, running, s.recorded[team].count)
+	s.registry.Invariant(!s.notStarted[ref], "G7", "%v runs after it was reported as not started", ref)
+	s.registry.Invariant(!s.ran[ref], "G8", "%v runs twice", ref)
+	s.ran[ref] = true
+}
+
+func (s *sim) readAllotments() allotmentsResult {
+	if s.rng.Float64() < s.loss {
+		return allotmentsResult{err: fmt.Errorf("store unavailable")}
+	}
+	return allotmentsResult{records: maps.Clone(s.recorded)}
+}
+
+func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K { return slices.Sorted(maps.Keys(m)) }
+
+// Len implements heap.Interface.
+func (a agenda) Len() int { return len(a) }
+
+// Less implements heap.Interface.
+func (a agenda) Less(i, j int) bool {
+	if c := a[i].at.Compare(a[j].at); c != 0 {
+		return c < 0
+	}
+	return a[i].sequence < a[j].sequence
+}
+
+// Swap implements heap.Interface.
+func (a agenda) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
+
+// Push implements heap.Interface.
+func (a *agenda) Push(x any) { *a = append(*a, x.(appointment)) }
+
+// Pop implements heap.Interface.
+func (a *agenda) Pop() any {
+	last := (*a)[len(*a)-1]
+	*a = (*a)[:len(*a)-1]
+	return last
+}
--- /dev/null
+++ b/berth/sim_worker_test.go
@@ -0,0 +1,251 @@
+package berth
+
+import (
+	"fmt"
+	"time"
+
+	"chervilhollow/crane"
+	"chervilhollow/order"
+	"chervilhollow/roster"
+)
+
+type (
+	// simWorker is a worker of the simulated group with the rules of the
+	// worker protocol.
+	simWorker struct {
+		s         *sim
+		spec      roster.Worker
+		runs      int
+		began     time.Time
+		clock     int64
+		fence     order.Epoch
+		sequence  uint64
+		running   map[order.TaskID]*simRun
+		ended     map[order.TaskID]simOutcome
+		forgotten map[crane.Ref]bool
+		paused    bool
+		cut       bool
+		failing   bool
+		backlog   []func()
+	}
+
+	simRun struct {
+		start crane.Start
+		lease time.Time
+		began time.Time
+		over  bool
+	}
+
+	simOutcome struct {
+		sequence uint64
+		ended    crane.Ended
+	}
+)
+
+func newSimWorker(s *sim, spec roster.Worker) *simWorker {
+	w := &simWorker{s: s, spec: spec}
+	w.reset()
+	return w
+}
+
+func (w *simWorker) reset() {
+	w.runs++
+	w.began = w.s.now
+	w.clock, w.fence, w.sequence = 0, 0, 0
+	w.running = make(map[order.TaskID]*simRun)
+	w.ended = make(map[order.TaskID]simOutcome)
+	w.forgotten = make(map[crane.Ref]bool)
+}
+
+func (w *simWorker) incarnation() string { return fmt.Sprintf("%s-%d", w.spec.ID(), w.runs) }
+
+func (w *simWorker) stamp() crane.Stamp {
+	w.clock = max(w.clock+1, w.s.now.Sub(w.began).Microseconds())
+	return crane.NewStamp(w.incarnation(), w.clock)
+}
+
+// Executes a message now, or when the worker wakes.
+func (w *simWorker) process(act func()) {
+	if w.paused {
+		w.backlog = append(w.backlog, act)
+		return
+	}
+	w.enforceLeases()
+	act()
+}
+
+func (w *simWorker) wake() {
+	w.paused = false
+	w.enforceLeases()
+	backlog := w.backlog
+	w.backlog = nil
+	if w.spec.Fenced() {
+		// Messages of several connections are executed in any order.
+		w.s.rng.Shuffle(len(backlog), func(i, j int) { backlog[i], backlog[j] = backlog[j], backlog[i] })
+	}
+	for _, act := range backlog {
+		act()
+	}
+	for _, id := range sortedKeys(w.running) {
+		if r := w.running[id]; r.over {
+			w.finish(r, order.Done)
+		}
+	}
+}
+
+func (w *simWorker) enforceLeases() {
+	for _, id := range sortedKeys(w.running) {
+		if r := w.running[id]; !r.lease.After(w.s.now) {
+			w.finish(r, order.WorkerLost)
+		}
+	}
+}
+
+func (w *simWorker) crash() {
+	w.reset()
+	w.backlog = nil
+	w.paused = false
+}
+
+// Reports whether the task runs here, as the platform's leases see it.
+func (w *simWorker) runsTask(id order.TaskID) bool {
+	r, ok := w.running[id]
+	return ok && r.lease.After(w.s.now)
+}
+
+func (w *simWorker) startTask(start crane.Start) (crane.Stamp, error) {
+	id := start.Task().ID()
+	ref := crane.NewRef(id, start.Attempt())
+	lease := w.began.Add(time.Duration(start.Stamp().Clock())*time.Microsecond + start.Lease())
+	reason := ""
+	switch o, ended := w.ended[id]; {
+	case w.spec.Fenced() && start.Epoch() < w.fence:
+		reason = crane.ReasonStaleEpoch
+	case w.running[id] != nil && w.running[id].start.Attempt() != start.Attempt():
+		reason = crane.ReasonOther
+	case w.running[id] != nil:
+		return w.stamp(), nil
+	case ended && o.ended.Outcome().Attempt() == start.Attempt():
+		return w.stamp(), nil
+	case ended && o.ended.Outcome().Attempt() > start.Attempt():
+		reason = crane.ReasonOther
+	case w.forgotten[ref]:
+		reason = crane.ReasonForgotten
+	case start.Stamp().Incarnation() != w.incarnation() || !lease.After(w.s.now):
+		reason = crane.ReasonStaleStamp
+	case len(w.running) >= w.spec.Slots():
+		reason = crane.ReasonNoRoom
+	}
+	if reason != "" {
+		return crane.Stamp{}, crane.NewRefusedError(reason)
+	}
+	r := &simRun{start: start, lease: lease, began: w.s.now}
+	w.running[id] = r
+	w.s.checkRun(w, start)
+	w.s.after(w.s.runTime(w), func() { w.complete(r) })
+	return w.stamp(), nil
+}
+
+func (w *simWorker) complete(r *simRun) {
+	if w.running[r.start.Task().ID()] != r {
+		return
+	}
+	if w.paused {
+		r.over = true
+		return
+	}
+	code := order.Done
+	if w.failing {
+		code = order.TaskFailed
+	}
+	w.finish(r, code)
+}
+
+func (w *simWorker) finish(r *simRun, code order.Code) {
+	id := r.start.Task().ID()
+	if !r.lease.After(w.s.now) {
+		code = order.WorkerLost
+	}
+	delete(w.running, id)
+	w.sequence++
+	outcome := order.Outcome{}.WithTask(id).WithAttempt(r.start.Attempt()).WithCode(code).
+		WithWorker(w.spec.ID()).WithStarted(r.began).WithEnded(w.s.now)
+	w.ended[id] = simOutcome{w.sequence, crane.NewEnded(r.start.Task(), outcome)}
+}
+
+func (w *simWorker) stop(ref crane.Ref, checkpoint bool) {
+	r, ok := w.running[ref.Task()]
+	if !ok || r.start.Attempt() != ref.Attempt() {
+		return
+	}
+	code := order.CancelledRunning
+	if checkpoint {
+		code = order.WorkerLost
+	}
+	w.finish(r, code)
+}
+
+func (w *simWorker) list(epoch order.Epoch) (crane.Listing, error) {
+	if w.spec.Fenced() && epoch < w.fence {
+		return crane.Listing{}, crane.NewRefusedError(crane.ReasonStaleEpoch)
+	}
+	w.fence = max(w.fence, epoch)
+	var running []crane.Running
+	for _, id := range sortedKeys(w.running) {
+		r := w.running[id]
+		running = append(running, crane.NewRunning(r.start.Task(), r.start.Attempt(), r.start.Reserved(), r.began))
+	}
+	return crane.NewListing(w.stamp(), running, w.outcomes(0)), nil
+}
+
+func (w *simWorker) renew(epoch order.Epoch, asOf crane.Stamp, refs []crane.Ref) (crane.Renewal, error) {
+	if w.spec.Fenced() && epoch < w.fence {
+		return crane.Renewal{}, crane.NewRefusedError(crane.ReasonStaleEpoch)
+	}
+	var unknown []crane.Ref
+	lease := w.began.Add(time.Duration(asOf.Clock())*time.Microsecond + taskLease)
+	for _, ref := range refs {
+		r, ok := w.running[ref.Task()]
+		if !ok || r.start.Attempt() != ref.Attempt() {
+			unknown = append(unknown, ref)
+			continue
+		}
+		if asOf.Incarnation() == w.incarnation() && lease.After(r.lease) {
+			r.lease = lease
+		}
+	}
+	return crane.NewRenewal(w.stamp(), unknown), nil
+}
+
+func (w *simWorker) ack(refs []crane.Ref) {
+	for _, ref := range refs {
+		if o, ok := w.ended[ref.Task()]; ok && o.ended.Outcome().Attempt() == ref.Attempt() {
+			delete(w.ended, ref.Task())
+		}
+		w.forgotten[ref] = true
+	}
+}
+
+func (w *simWorker) outcomes(after uint64) []crane.Ended {
+	var list []crane.Ended
+	for _, id := range sortedKeys(w.ended) {
+		if o := w.ended[id]; o.sequence > after {
+			list = append(list, o.ended)
+		}
+	}
+	return list
+}
+
+// The reported use differs from the declared size by the team's factor.
+func (w *simWorker) usage() []crane.Use {
+	var uses []crane.Use
+	for _, id := range sortedKeys(w.running) {
+		r := w.running[id]
+		declared := r.start.Task().Size()
+		factor := useFactors[r.start.Task().Team()]
+		used := declared.WithCores(order.MilliCores(float64(declared.Cores()) * factor)).
+			WithMemory(order.Bytes(float64(declared.Memory()) * factor))
+		uses = append(uses, crane.NewUse(crane.NewRef(id, r.start.Attempt()), used))
+	}
+	return uses
+}
--- a/berth/starts.go
+++ b/berth/starts.go
@@ -252,7 +252,7 @@
 }
 
 func (m *machine) tickEntries(now time.Time) {
-	for _, e := range m.entries {
+	for _, e := range m.inOrder(m.entries) {
 		switch e.state {
 		case order.TaskHeld:
 			if !now.Before(e.heldUntil) {
--- a/order/schema_gen.go
+++ b/order/schema_gen.go
@@ -2099,6 +2099,7 @@
 		Version   uint64      `cbor:"5,keyasint,omitempty"`
 		Running   int         `cbor:"6,keyasint,omitempty"`
 		Waiting   int         `cbor:"7,keyasint,omitempty"`
+		Epoch     Epoch       `cbor:"8,keyasint,omitempty"`
 	}
 )
 
@@ -2165,6 +2166,15 @@
 	return x
 }
 
+// Epoch returns the epoch at which the group acknowledges.
+func (x AllotAckMsg) Epoch() Epoch { return x.w.Epoch }
+
+// WithEpoch returns a copy with Epoch set.
+func (x AllotAckMsg) WithEpoch(v Epoch) AllotAckMsg {
+	x.w.Epoch = v
+	return x
+}
+
 // MarshalCBOR implements cbor.Marshaler.
 func (x AllotAckMsg) MarshalCBOR() ([]byte, error) { return marshal(x.w) }
 
