--- /dev/null
+++ b/scripts/cluster.sh
@@ -0,0 +1,96 @@
+# Starts and stops a deployment of stand-ins and entry hosts on loopback. To be
+# sourced by other scripts, from the root of the repository.
+#
+#   start_cluster DEPLOYMENT HOSTS   starts stand-ins, gates and placers
+#   stop_cluster                     stops all gracefully, reports failures
+#
+# Logs go to out/DEPLOYMENT/. The process IDs are in the arrays gates, placers
+# and standins.
+
+gates=()
+placers=()
+standins=()
+gate_urls=()
+
+domains_of() {
+	sed -n 's/.*"domains": \[\(.*\)\],.*/\1/p' "examples/$1/hosts.json" | tr -d '", ' | tr '\n' ' '
+	sed -n 's/.*"domains": \[\(.*\)\],.*/\1/p' "examples/$1/hosts.json" | tr ',' '\n' | tr -d '" ' >"$out/domains"
+}
+
+# host_settings FILE NUMBER DOMAIN: settings of one entry host; host 1 uses the
+# ports 711x and 712x, host 2 721x and 722x, and so on.
+host_settings() {
+	sed -e "s/127\.0\.0\.1:71\([12]\)/127.0.0.1:7$2\1/" \
+		-e "s/\"failure_domain\": \"[^\"]*\"/\"failure_domain\": \"$3\"/" "$1"
+}
+
+wait_for() {
+	local url=$1 limit=$2
+	for _ in $(seq $((limit * 20))); do
+		curl -fsS -o /dev/null "$url" 2>/dev/null && return 0
+		sleep 0.05
+	done
+	echo "no answer from $url within $limit s" >&2
+	return 1
+}
+
+start_standins() {
+	bin/standin-store -listen 127.0.0.1:7400 >"$out/store.log" 2>&1 &
+	standins+=($!)
+	bin/standin-hosts -listen 127.0.0.1:7500 -file "examples/$1/hosts.json" >"$out/hosts.log" 2>&1 &
+	standins+=($!)
+	bin/standin-worker -listen 127.0.0.1:7600 -hosts "examples/$1/hosts.json" >"$out/workers.log" 2>&1 &
+	standins+=($!)
+	wait_for http://127.0.0.1:7400/calls 5
+	wait_for http://127.0.0.1:7500/v1/hosts 5
+	wait_for http://127.0.0.1:7600/audit 5
+}
+
+start_gate() {
+	bin/gate -settings "$out/gate$1.json" >>"$out/gate$1.log" 2>&1 &
+	gates[$1]=$!
+}
+
+start_placer() {
+	bin/placer -settings "$out/placer$1.json" >>"$out/placer$1.log" 2>&1 &
+	placers[$1]=$!
+}
+
+start_cluster() {
+	local deployment=$1 hosts=$2
+	out=out/$deployment
+	rm -rf "$out"
+	mkdir -p "$out"
+	domains_of "$deployment" >/dev/null
+	mapfile -t domains <"$out/domains"
+	start_standins "$deployment"
+	for i in $(seq "$hosts"); do
+		local domain=${domains[$(((i - 1) % ${#domains[@]}))]}
+		host_settings "examples/$deployment/gate.json" "$i" "$domain" >"$out/gate$i.json"
+		host_settings "examples/$deployment/placer.json" "$i" "$domain" >"$out/placer$i.json"
+		start_placer "$i"
+		start_gate "$i"
+		gate_urls+=("http://127.0.0.1:7${i}12")
+	done
+}
+
+wait_ready() {
+	for i in "${!gates[@]}"; do
+		wait_for "http://127.0.0.1:7${i}11/ready" 20
+		wait_for "http://127.0.0.1:7${i}21/ready" 20
+	done
+}
+
+stop_cluster() {
+	local failed=0
+	for pid in "${gates[@]}"; do kill -TERM "$pid" 2>/dev/null; done
+	for pid in "${gates[@]}"; do wait "$pid" || failed=1; done
+	for pid in "${placers[@]}"; do kill -TERM "$pid" 2>/dev/null; done
+	for pid in "${placers[@]}"; do wait "$pid" || failed=1; done
+	for pid in "${standins[@]}"; do kill -TERM "$pid" 2>/dev/null; done
+	for pid in "${standins[@]}"; do wait "$pid" || failed=1; done
+	gates=()
+	placers=()
+	standins=()
+	return $failed
+}
--- a/wharf/router.go
+++ b/wharf/router.go
@@ -25,6 +25,10 @@
 	// Inventory lists the tasks of a request partition that a group knows.
 	Inventory interface {
 		Inventory(request order.PartitionID) []order.InventoryEntry
+
+		// Adopted reports whether the group has read the task lists of its
+		// workers, without which its inventory is incomplete.
+		Adopted() bool
 	}
 
 	// Router hands inbound messages to the part of the placer that they are
@@ -199,7 +203,7 @@
 	r.mu.RLock()
 	for p, handler := range r.groups {
 		group, ok := handler.(Inventory)
-		if !ok {
+		if !ok || !group.Adopted() {
 			continue
 		}
 		id, _ := p.Group()
@@ -212,3 +216,16 @@
 		r.registry.Count("wharf.dropped.send")
 	}
 }
+
+// Digests returns the digests of all groups of the placer.
+func (r *Router) Digests() []order.GroupDigest {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	digests := make([]order.GroupDigest, 0, len(r.groups))
+	for _, handler := range r.groups {
+		if group, ok := handler.(interface{ Digest() order.GroupDigest }); ok {
+			digests = append(digests, group.Digest())
+		}
+	}
+	return digests
+}
