--- a/cmd/ctl/main.go
+++ b/cmd/ctl/main.go
@@ -84,7 +84,8 @@
   2  wrong arguments
   3  recorded, but not accepted before the timeout
   4  conflict with another operator's change; nothing was recorded
-  5  the answer was lost; "ctl show" tells whether the change was recorded`
+  5  the answer was lost: the change may have been recorded, or may still be
+     when a slow store executes it late; "ctl show" shows the latest changes`
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
