Keep a full configuration changeable

Beyond a limit the configuration may not grow, but keys can still be withdrawn and domains taken out, and withdrawn keys can be forgotten. The store in memory bounds its history by size as well.

--- a/cmd/ctl/change.go
+++ b/cmd/ctl/change.go
@@ -104,7 +104,28 @@
 				return withdrawal(c, args[0])
 			}, nil)
 		})
-	return a.group("key", "give or withdraw a team's key", give, withdraw)
+	forget := a.leaf("key forget [flags] HASH|all", "remove the records of withdrawn keys, to make room",
+		"The keys stay unusable, but a sheet exported before they were withdrawn would add them again.",
+		a.flags("forget"), 1, func(ctx context.Context, args []string) error {
+			return a.change(ctx, func(c *sheet.Config) ([]sheet.Edit, error) {
+				return forgetting(c, args[0]), nil
+			}, nil)
+		})
+	return a.group("key", "give, withdraw or forget a team's key", give, withdraw, forget)
+}
+
+// forgetting returns the edits that forget one withdrawn key or all.
+func forgetting(c *sheet.Config, name string) []sheet.Edit {
+	if name != "all" {
+		return []sheet.Edit{sheet.ForgetKey(strings.ToLower(strings.TrimPrefix(name, "sha256:")))}
+	}
+	var edits []sheet.Edit
+	for _, key := range c.Keys() {
+		if key.Withdrawn() {
+			edits = append(edits, sheet.ForgetKey(key.Hash()))
+		}
+	}
+	return edits
 }
 
 func (a *app) giveKey(ctx context.Context, team order.TeamName) error {
--- a/cmd/ctl/main_test.go
+++ b/cmd/ctl/main_test.go
@@ -124,7 +124,10 @@
 	toys, _ := c.config().Team("toys")
 	is.Equal(toys.Limit(), 40)
 	is.Equal(len(toys.Domains()), 2)
-	for _, args := range [][]string{{"show"}, {"show", "--json"}, {"hosts"}, {"members"}, {"wait", "6"}} {
+	status, _ = c.ctl("key", "forget", "all")
+	is.Equal(status, exitDone)
+	is.Equal(len(c.config().Keys()), 0)
+	for _, args := range [][]string{{"show"}, {"show", "--json"}, {"hosts"}, {"members"}, {"wait", "7"}} {
 		status, out = c.ctl(args...)
 		is.Equal(status, exitDone)
 		is.True(out != "" || args[0] == "members")
@@ -145,6 +148,7 @@
 		{"key give", exitUsage},
 		{"key give nobody", exitFailed},
 		{"key withdraw nothing", exitFailed},
+		{"key forget nothing", exitFailed},
 		{"domain out esat", exitFailed},
 		{"team set toys", exitUsage},
 		{"team set toys --share 0 --limit 3", exitFailed},
--- a/depot/memory.go
+++ b/depot/memory.go
@@ -21,6 +21,7 @@
 		version   Version
 		compacted Version
 		retained  int
+		bytes     int
 		entries   map[string]memoryEntry
 		history   []Event
 		leases    map[LeaseID]*memoryLease
@@ -57,6 +58,10 @@
 	MaxValue = 1 << 20
 
 	defaultRetained = 10_000
+
+	// maxRetainedBytes bounds the values in the history, because journal
+	// segments may be as large as MaxValue.
+	maxRetainedBytes = 64 << 20
 )
 
 // WithRetained sets how many changes are kept for watches.
@@ -273,9 +278,13 @@
 // record adds a change to the history and wakes the waiting watches.
 func (m *Memory) record(event Event) {
 	m.history = append(m.history, event)
-	if excess := len(m.history) - m.retained; excess > 0 {
-		m.compacted = m.history[excess-1].entry.version
-		m.history = append([]Event(nil), m.history[excess:]...)
+	m.bytes += len(event.entry.value)
+	for len(m.history) > m.retained || m.bytes > maxRetainedBytes {
+		oldest := m.history[0].entry
+		m.compacted = oldest.version
+		m.bytes -= len(oldest.value)
+		m.history[0] = Event{}
+		m.history = m.history[1:]
 	}
 	m.wake()
 }
@@ -292,4 +301,5 @@
 	defer m.mu.Unlock()
 	m.compacted = m.version
 	m.history = nil
+	m.bytes = 0
 }
--- a/sheet/edit.go
+++ b/sheet/edit.go
@@ -27,6 +27,7 @@
 	teamEdit   struct{ team Team }
 	removeEdit struct{ name order.TeamName }
 	keyEdit    struct{ key Key }
+	forgetEdit struct{ hash string }
 	domainEdit struct {
 		name   order.DomainName
 		open   bool
@@ -37,6 +38,7 @@
 		Team   *teamDocument   `json:"team,omitempty"`
 		Remove order.TeamName  `json:"remove_team,omitempty"`
 		Key    *keyDocument    `json:"key,omitempty"`
+		Forget string          `json:"forget_key,omitempty"`
 		Domain *domainDocument `json:"domain,omitempty"`
 	}
 )
@@ -67,6 +69,10 @@
 // WithdrawKey withdraws a key.
 func WithdrawKey(key Key) Edit { return keyEdit{key: key.WithWithdrawn(true)} }
 
+// ForgetKey removes the record of a withdrawn key, to make room. The key stays
+// unusable unless it is given again.
+func ForgetKey(hash string) Edit { return forgetEdit{hash: hash} }
+
 // SetDomain takes a failure domain out or brings it back.
 func SetDomain(name order.DomainName, open bool, source Source) Edit {
 	return domainEdit{name: name, open: open, source: source}
@@ -96,6 +102,9 @@
 	return fmt.Sprintf("give key %s to team %s", e.key.hash, e.key.team)
 }
 
+// String implements fmt.Stringer.
+func (e forgetEdit) String() string { return "forget withdrawn key " + e.hash }
+
 // String implements fmt.Stringer.
 func (e domainEdit) String() string {
 	if e.open {
@@ -146,6 +155,13 @@
 	return nil
 }
 
+func (e forgetEdit) check(c *Config) error {
+	if !c.keys[e.hash].withdrawn {
+		return fmt.Errorf("no withdrawn key %s", e.hash)
+	}
+	return nil
+}
+
 func (e domainEdit) check(*Config) error { return checkName("domain", string(e.name)) }
 
 func (e teamEdit) apply(c *Config) { c.teams[e.team.name] = e.team }
@@ -157,6 +173,8 @@
 	c.keys[e.key.hash] = e.key.WithWithdrawn(withdrawn)
 }
 
+func (e forgetEdit) apply(c *Config) { delete(c.keys, e.hash) }
+
 func (e domainEdit) apply(c *Config) { c.setDomain(e.name, e.open, e.source) }
 
 func (e teamEdit) document() editDocument {
@@ -171,6 +189,8 @@
 	return editDocument{Key: &d}
 }
 
+func (e forgetEdit) document() editDocument { return editDocument{Forget: e.hash} }
+
 func (e domainEdit) document() editDocument {
 	return editDocument{Domain: &domainDocument{Name: e.name, Open: e.open, By: e.source}}
 }
@@ -183,6 +203,8 @@
 		return removeEdit{name: d.Remove}, nil
 	case d.Key != nil:
 		return keyEdit{key: d.Key.key()}, nil
+	case d.Forget != "":
+		return forgetEdit{hash: d.Forget}, nil
 	case d.Domain != nil:
 		return domainEdit{name: d.Domain.Name, open: d.Domain.Open, source: d.Domain.By}, nil
 	}
--- a/sheet/editor.go
+++ b/sheet/editor.go
@@ -39,7 +39,7 @@
 	ErrNoChange = errors.New("the configuration is already so")
 
 	// ErrConfigTooLarge reports a configuration above the store's limit.
-	ErrConfigTooLarge = errors.New("the configuration exceeds the store's limit for a value")
+	ErrConfigTooLarge = errors.New("the configuration would be too large for the store; forget withdrawn keys first")
 )
 
 // WithAuthor sets the name under which changes are recorded.
@@ -118,6 +118,9 @@
 	if err := base.config.Check(edits...); err != nil {
 		return Change{}, err
 	}
+	if err := checkSize(base.config, edits); err != nil {
+		return Change{}, err
+	}
 	change := Change{
 		id:       ulid.Make().String(),
 		revision: base.config.revision + 1,
@@ -136,6 +139,45 @@
 	return change, nil
 }
 
+// checkSize refuses edits that add to a configuration which is too large.
+// Withdrawing keys and taking domains out stays possible; what this adds is
+// bounded by the number of keys and domains and fits above maxConfig.
+func checkSize(c *Config, edits []Edit) error {
+	n := c.copy()
+	for _, edit := range edits {
+		edit.apply(n)
+	}
+	before, err := EncodeConfig(c)
+	if err != nil {
+		return err
+	}
+	after, err := EncodeConfig(n)
+	if err != nil {
+		return err
+	}
+	if len(after) > maxConfig && len(after) > len(before) && !c.urgent(edits) {
+		return ErrConfigTooLarge
+	}
+	return nil
+}
+
+// urgent reports whether the edits only withdraw known keys and change
+// domains.
+func (c *Config) urgent(edits []Edit) bool {
+	for _, edit := range edits {
+		switch e := edit.(type) {
+		case keyEdit:
+			if _, ok := c.keys[e.key.hash]; !ok || !e.key.withdrawn {
+				return false
+			}
+		case domainEdit:
+		default:
+			return false
+		}
+	}
+	return true
+}
+
 // prepare returns the root record with the change, and the snapshots that it
 // no longer names. If the changes have become too large, it first writes them
 // to a snapshot of the base's revision. The content of that snapshot is the
--- a/sheet/editor_test.go
+++ b/sheet/editor_test.go
@@ -276,6 +276,7 @@
 		RemoveTeam(team),
 		GiveKey(key),
 		WithdrawKey(key),
+		ForgetKey(key.Hash()),
 		SetDomain(domain, rapid.Bool().Draw(rt, "open"), SourceOperator),
 		SetDomain(domain, rapid.Bool().Draw(rt, "open"), SourceSheet),
 	}
@@ -342,3 +343,53 @@
 	is.NoErr(err)
 	is.Equal(len(snapshots), keptSnapshots+1)
 }
+
+// Guards against a configuration that has grown so far that no key can be
+// withdrawn and no domain taken out, and against a large sheet whose history
+// does not fit into a snapshot.
+func TestEditorFullConfiguration(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	clock := newInstantClock()
+	store := depot.NewMemory(clock)
+	editor := NewEditor(store, clock)
+	apply := func(edits ...Edit) error {
+		base, err := editor.Load(ctx)
+		is.NoErr(err)
+		_, err = editor.Apply(ctx, base, edits...)
+		return err
+	}
+	is.NoErr(apply(SetTeam(NewTeam("toys", 1, 1))))
+	keys := make([]Key, 0, 8000)
+	var err error
+	for err == nil {
+		var edits []Edit
+		for range 500 {
+			key := NewKey(HashKey(fmt.Sprint(len(keys))), "toys")
+			keys = append(keys, key)
+			edits = append(edits, GiveKey(key))
+		}
+		err = apply(edits...)
+	}
+	is.True(errors.Is(err, ErrConfigTooLarge))
+	given := keys[:len(keys)-500]
+	is.True(len(given) > 5000)
+	is.NoErr(apply(SetDomain("east", false, SourceOperator)))
+	var withdrawals []Edit
+	for _, key := range given {
+		withdrawals = append(withdrawals, WithdrawKey(key))
+	}
+	is.NoErr(apply(withdrawals[:3000]...))
+	is.NoErr(apply(withdrawals[3000:]...))
+	is.NoErr(apply(SetDomain("west", false, SourceOperator)))
+	is.True(errors.Is(apply(GiveKey(keys[len(keys)-1])), ErrConfigTooLarge))
+	for _, key := range given[:2000] {
+		withdrawals = append(withdrawals, ForgetKey(key.Hash()))
+	}
+	is.NoErr(apply(withdrawals[len(given):]...))
+	is.NoErr(apply(GiveKey(keys[len(keys)-1])))
+	base, err := editor.Load(ctx)
+	is.NoErr(err)
+	is.Equal(len(base.Config().Keys()), len(given)-2000+1)
+	is.True(!base.Config().DomainOpen("east"))
+}
--- a/sheet/root.go
+++ b/sheet/root.go
@@ -18,6 +18,7 @@
 		author   string
 		at       time.Time
 		edits    []Edit
+		omitted  int
 	}
 
 	// root is the record that names the current revision: a snapshot and the
@@ -42,6 +43,7 @@
 		Author   string         `json:"author,omitempty"`
 		At       time.Time      `json:"at"`
 		Edits    []editDocument `json:"edits"`
+		Omitted  int            `json:"omitted,omitempty"`
 	}
 
 	rootDocument struct {
@@ -62,10 +64,19 @@
 	snapshotPrefix = "config/snapshot/"
 
 	// foldAbove is the size of the changes in the root record, in bytes,
-	// above which they are folded into a snapshot. A watcher receives half of
-	// it per change on average: 0.7 KB/s at 15,000 changes a day.
+	// above which they are folded into a snapshot. It bounds what each watcher
+	// receives per change.
 	foldAbove = 8 << 10
 
+	// maxConfig is the size of a configuration, in bytes, above which it may
+	// not grow. A snapshot of it then fits into a value together with the
+	// changes, so that a change that does not add to it is always possible.
+	maxConfig = 768 << 10
+
+	// maxHistoryEdits is the size of a change's edits, in bytes, above which
+	// a snapshot's history only tells their number.
+	maxHistoryEdits = 4 << 10
+
 	// keptSnapshots older snapshots remain, so that an operator whose answer
 	// was lost can still find the change.
 	keptSnapshots = 16
@@ -88,7 +99,8 @@
 // At returns when the change was made, by the clock of its author.
 func (c Change) At() time.Time { return c.at }
 
-// Edits returns the steps of the change.
+// Edits returns the steps of the change. The history omits those of a large
+// change, such as a daily sheet.
 func (c Change) Edits() []Edit { return c.edits }
 
 // String implements fmt.Stringer.
@@ -97,6 +109,9 @@
 	for _, edit := range c.edits {
 		texts = append(texts, edit.String())
 	}
+	if c.omitted > 0 {
+		texts = append(texts, fmt.Sprintf("%d edits, such as of a daily sheet", c.omitted))
+	}
 	return fmt.Sprintf("revision %d by %s at %s: %s", c.revision, c.author,
 		c.at.UTC().Format(time.RFC3339), strings.Join(texts, "; "))
 }
@@ -195,10 +210,27 @@
 }
 
 func (s snapshot) encode() ([]byte, error) {
-	return json.Marshal(snapshotDocument{
-		Config:  s.config.document(),
-		Changes: changeDocuments(s.changes),
-	})
+	changes, err := historyDocuments(s.changes)
+	if err != nil {
+		return nil, err
+	}
+	return json.Marshal(snapshotDocument{Config: s.config.document(), Changes: changes})
+}
+
+// historyDocuments returns the changes without the edits of large ones.
+func historyDocuments(changes []Change) ([]changeDocument, error) {
+	documents := changeDocuments(changes)
+	for i := range documents {
+		data, err := json.Marshal(documents[i].Edits)
+		if err != nil {
+			return nil, err
+		}
+		if len(data) > maxHistoryEdits {
+			documents[i].Omitted = len(documents[i].Edits)
+			documents[i].Edits = nil
+		}
+	}
+	return documents, nil
 }
 
 func decodeSnapshot(data []byte) (snapshot, error) {
@@ -216,7 +248,7 @@
 func changeDocuments(changes []Change) []changeDocument {
 	documents := make([]changeDocument, 0, len(changes))
 	for _, c := range changes {
-		d := changeDocument{ID: c.id, Revision: c.revision, Author: c.author, At: c.at}
+		d := changeDocument{ID: c.id, Revision: c.revision, Author: c.author, At: c.at, Omitted: c.omitted}
 		for _, edit := range c.edits {
 			d.Edits = append(d.Edits, edit.document())
 		}
@@ -228,7 +260,7 @@
 func readChanges(documents []changeDocument) ([]Change, error) {
 	changes := make([]Change, 0, len(documents))
 	for _, d := range documents {
-		c := Change{id: d.ID, revision: d.Revision, author: d.Author, at: d.At}
+		c := Change{id: d.ID, revision: d.Revision, author: d.Author, at: d.At, omitted: d.Omitted}
 		for _, document := range d.Edits {
 			edit, err := document.edit()
 			if err != nil {
