--- a/sheet/reader.go
+++ b/sheet/reader.go
@@ -31,7 +31,10 @@
 
 const (
 	firstPause = 50 * time.Millisecond
-	longPause  = 2 * time.Second
+
+	// longPause with its jitter leaves time, after an outage of the store,
+	// for a change to be everywhere within 3 s.
+	longPause = time.Second
 
 	// loadAttempts bounds how often a root record is read again whose
 	// snapshot was replaced in between.
