Add the load tool

It offers a described mix at planned times that do not depend on the answers, so that a slow system cannot reduce its own load, and reports waiting times per kind and team.

--- /dev/null
+++ b/cmd/load/mix.go
@@ -0,0 +1,193 @@
+package main
+
+import (
+	"fmt"
+	"math"
+	"sort"
+	"time"
+
+	"chervilhollow/chart"
+	"chervilhollow/order"
+)
+
+type (
+	// mixDocument describes a load.
+	mixDocument struct {
+		Seed     uint64         `json:"seed" help:"the same seed offers the same load"`
+		Duration chart.Duration `json:"duration" help:"how long requests are offered"`
+		Drain    chart.Duration `json:"drain" help:"how long answers are awaited after the offered time"`
+		Gates    []string       `json:"gates" help:"URLs of the gates, used in turn"`
+		InFlight int            `json:"in_flight" help:"requests that may be open at once"`
+		Resend   bool           `json:"resend" help:"send again to the next gate after a cut call or a code that allows it"`
+		Teams    []teamDocument `json:"teams" help:"teams that send"`
+		Kinds    []kindDocument `json:"kinds" help:"kinds of requests"`
+	}
+
+	teamDocument struct {
+		Name    string             `json:"name" help:"name in the report"`
+		Key     string             `json:"key" help:"key of the team"`
+		Weights map[string]float64 `json:"weights" help:"weight of the team for each kind; 1 for a kind that is not named"`
+	}
+
+	kindDocument struct {
+		Name         string         `json:"name" help:"name in the report"`
+		Kind         string         `json:"kind" help:"batch, preview, service or gang"`
+		Rate         float64        `json:"rate" help:"arrivals per second of all teams"`
+		RunTime      timeDocument   `json:"run_time" help:"run time of a task"`
+		Tasks        rangeDocument  `json:"tasks" help:"tasks of a gang or service"`
+		Cores        rangeDocument  `json:"cores" help:"declared cores"`
+		MemoryMB     rangeDocument  `json:"memory_mb" help:"declared memory"`
+		Accelerators rangeDocument  `json:"accelerators" help:"declared accelerators"`
+		PayloadBytes rangeDocument  `json:"payload_bytes" help:"padding of the payload"`
+		UseFactor    rangeDocument  `json:"use_factor" help:"real use as a multiple of the declared size"`
+		Deadline     chart.Duration `json:"deadline" help:"deadline of the request"`
+		Idempotent   bool           `json:"idempotent" help:"may run more than once"`
+		Detached     bool           `json:"detached" help:"ask for the result by ID"`
+		Urgent       bool           `json:"urgent" help:"goes ahead of the team's other requests"`
+		Checkpoint   bool           `json:"checkpoint" help:"tasks can be checkpointed"`
+		GateIDs      bool           `json:"gate_ids" help:"let the gate choose the ID; such requests are not sent again"`
+		FailFraction float64        `json:"fail_fraction" help:"fraction of requests whose tasks fail"`
+		Cancel       float64        `json:"cancel_fraction" help:"fraction of requests that are cancelled"`
+		CancelAfter  chart.Duration `json:"cancel_after" help:"time from the arrival to the cancellation"`
+	}
+
+	timeDocument struct {
+		Distribution string         `json:"distribution" help:"constant, uniform, exponential or lognormal"`
+		Mean         chart.Duration `json:"mean" help:"mean"`
+		Min          chart.Duration `json:"min" help:"shortest"`
+		Max          chart.Duration `json:"max" help:"longest"`
+		Sigma        float64        `json:"sigma" help:"shape of a lognormal distribution"`
+	}
+
+	rangeDocument struct {
+		Min float64 `json:"min" help:"smallest value"`
+		Max float64 `json:"max" help:"largest value; the smallest one if it is missing"`
+	}
+)
+
+const (
+	defaultDrain    = time.Minute
+	defaultInFlight = 20000
+	defaultDeadline = 30 * time.Second
+	constant        = "constant"
+	uniform         = "uniform"
+	exponential     = "exponential"
+	lognormal       = "lognormal"
+)
+
+// parseMix reads a mix and reports all its faults.
+func parseMix(file string, data []byte) (mixDocument, error) {
+	m := mixDocument{Drain: chart.Duration(defaultDrain), InFlight: defaultInFlight}
+	c := chart.Decode(file, data, &m)
+	c.Positive("duration", float64(m.Duration))
+	c.Positive("in_flight", float64(m.InFlight))
+	if len(m.Gates) == 0 {
+		c.Fault("gates", "name at least one gate")
+	}
+	for i, gate := range m.Gates {
+		c.URL(fmt.Sprintf("gates[%d]", i), gate)
+	}
+	if len(m.Kinds) == 0 {
+		c.Fault("kinds", "name at least one kind")
+	}
+	checkTeams(c, m)
+	for i := range m.Kinds {
+		m.Kinds[i].complete()
+		m.Kinds[i].check(c, fmt.Sprintf("kinds[%d]", i))
+	}
+	return m, c.Err()
+}
+
+func checkTeams(c *chart.Checker, m mixDocument) {
+	if len(m.Teams) == 0 {
+		c.Fault("teams", "name at least one team")
+	}
+	known := make(map[string]bool)
+	for _, k := range m.Kinds {
+		known[k.Name] = true
+	}
+	for i, t := range m.Teams {
+		path := fmt.Sprintf("teams[%d]", i)
+		c.Required(path+".name", t.Name)
+		c.Required(path+".key", t.Key)
+		for _, name := range sortedKeys(t.Weights) {
+			if !known[name] {
+				c.Fault(path+".weights."+name, "no such kind")
+			}
+			if t.Weights[name] < 0 {
+				c.Fault(path+".weights."+name, "must not be below zero")
+			}
+		}
+	}
+}
+
+func sortedKeys(m map[string]float64) []string {
+	keys := make([]string, 0, len(m))
+	for key := range m {
+		keys = append(keys, key)
+	}
+	sort.Strings(keys)
+	return keys
+}
+
+// complete sets the defaults of a kind.
+func (k *kindDocument) complete() {
+	if k.Deadline == 0 {
+		k.Deadline = chart.Duration(defaultDeadline)
+	}
+	if k.RunTime.Distribution == "" {
+		k.RunTime.Distribution = constant
+	}
+	for _, r := range []*rangeDocument{&k.Tasks, &k.Cores, &k.MemoryMB, &k.Accelerators, &k.PayloadBytes, &k.UseFactor} {
+		r.Max = max(r.Max, r.Min)
+	}
+	for _, r := range []*rangeDocument{&k.Tasks, &k.Cores, &k.MemoryMB, &k.UseFactor} {
+		if r.Max == 0 {
+			r.Min, r.Max = 1, 1
+		}
+	}
+}
+
+func (k *kindDocument) check(c *chart.Checker, path string) {
+	c.Required(path+".name", k.Name)
+	if _, err := order.ParseKind(k.Kind); err != nil {
+		c.Fault(path+".kind", "%s", err)
+	}
+	c.Positive(path+".rate", k.Rate)
+	k.RunTime.check(c, path+".run_time")
+	for name, r := range map[string]rangeDocument{
+		"tasks": k.Tasks, "cores": k.Cores, "memory_mb": k.MemoryMB, "accelerators": k.Accelerators,
+		"payload_bytes": k.PayloadBytes, "use_factor": k.UseFactor,
+	} {
+		if r.Min < 0 {
+			c.Fault(path+"."+name, "must not be below zero")
+		}
+	}
+	for name, fraction := range map[string]float64{"fail_fraction": k.FailFraction, "cancel_fraction": k.Cancel} {
+		if fraction < 0 || fraction > 1 {
+			c.Fault(path+"."+name, "must be between 0 and 1")
+		}
+	}
+	if k.GateIDs && (k.Detached || k.Cancel > 0) {
+		c.Fault(path+".gate_ids", "detached or cancelled requests need an ID of their own")
+	}
+	if k.Kind == order.Service.String() && !k.Detached {
+		c.Fault(path+".detached", "a service must be detached")
+	}
+}
+
+func (t timeDocument) check(c *chart.Checker, path string) {
+	switch t.Distribution {
+	case constant, exponential, lognormal:
+		c.Positive(path+".mean", float64(t.Mean))
+	case uniform:
+		if t.Max < t.Min {
+			c.Fault(path+".max", "must be at least min")
+		}
+	default:
+		c.Fault(path+".distribution", "want constant, uniform, exponential or lognormal, got %q", t.Distribution)
+	}
+	if t.Sigma < 0 || math.IsNaN(t.Sigma) {
+		c.Fault(path+".sigma", "must not be below zero")
+	}
+}
