Keep a former owner silent and repeat no start after a crash

The simulation found two faults. A former owner without a guard reported an attempt as not started because its successor had acknowledged the outcome; a group without a guard now posts nothing.

--- a/berth/adopt.go
+++ b/berth/adopt.go
@@ -62,7 +62,7 @@
 	if _, over := m.settled[ref]; over || ok && e.attempt >= ref.Attempt() && e.state != order.TaskHeld {
 		m.deps.registry.Invariant(!ok || !e.live() || e.host == h, "G2",
 			"task %s runs on %s and %s", ref.Task(), h.id(), hostName(e))
-		m.emit(stopCommand{worker: h.id(), ref: ref})
+		m.stop(h.id(), ref, false)
 		return
 	}
 	if ok && e.state == order.TaskHeld {
--- a/berth/machine.go
+++ b/berth/machine.go
@@ -106,10 +106,26 @@
 
 func (m *machine) emit(c command) { m.commands = append(m.commands, c) }
 
+// Posts a message unless the ownership has ended. A successor may have taken
+// over by then and acknowledged outcomes, so what this owner concludes from a
+// worker's list may be wrong. Outcomes are posted again if the ownership
+// continues.
 func (m *machine) post(partition order.PartitionID, msg order.Msg) {
+	if m.deps.guard.Remaining() <= 0 {
+		m.deps.registry.Count("berth.post_suppressed")
+		return
+	}
 	m.emit(postCommand{partition: partition, message: msg})
 }
 
+// Stops an attempt on its worker. A former owner stops nothing: the attempt
+// may be its successor's.
+func (m *machine) stop(worker order.WorkerID, ref crane.Ref, checkpoint bool) {
+	if m.deps.guard.Remaining() > 0 {
+		m.emit(stopCommand{worker: worker, ref: ref, checkpoint: checkpoint})
+	}
+}
+
 func (m *machine) onMessage(now time.Time, msg order.Msg) {
 	switch msg := msg.(type) {
 	case order.BidMsg:
@@ -236,7 +252,7 @@
 		h.usageAt = now.Add(usagePeriod)
 		m.emit(usageCommand{worker: h.id()})
 	}
-	if !h.acking && len(h.acks) > 0 {
+	if !h.acking && len(h.acks) > 0 && m.deps.guard.Remaining() > 0 {
 		h.acking = true
 		m.emit(ackCommand{worker: h.id(), refs: h.acks})
 		h.acks = nil
--- a/berth/machine_rapid_test.go
+++ b/berth/machine_rapid_test.go
@@ -24,6 +24,7 @@
 func TestGroupUnderFaults(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := newSim(t)
+		defer s.explain()
 		for range rapid.IntRange(1, rapidSteps).Draw(t, "steps") {
 			s.act(rapid.IntRange(0, 19).Draw(t, "action"))
 			s.advance(time.Duration(rapid.IntRange(1, 2000).Draw(t, "ms")) * time.Millisecond)
--- a/berth/sim_owner_test.go
+++ b/berth/sim_owner_test.go
@@ -97,15 +97,17 @@
 	w := o.s.byID[c.worker]
 	ref := crane.NewRef(c.start.Task().ID(), c.start.Attempt())
 	check := func() error {
-		if err := mayWrite(o.machine.deps, simGroup, c.worker); err != nil {
-			return err
-		}
-		return nil
+		err := mayWrite(o.machine.deps, simGroup, c.worker)
+		o.s.note(ref.Task(), "epoch %d writes start of attempt %d to %s: %v", o.epoch, ref.Attempt(), c.worker, err)
+		return err
 	}
 	o.call(w, check, func() { o.s.checkWrite(o, w, ref) }, time.Second, func() event {
 		stamp, err := w.startTask(c.start)
 		return startResult{worker: c.worker, ref: ref, stamp: stamp, err: err}
-	}, func(err error) event { return startResult{worker: c.worker, ref: ref, err: err} })
+	}, func(err error) event {
+		o.s.note(ref.Task(), "epoch %d gets %v for the start", o.epoch, err)
+		return startResult{worker: c.worker, ref: ref, err: err}
+	})
 }
 
 func (o *simOwner) executeCall(c command) {
--- a/berth/sim_partition_test.go
+++ b/berth/sim_partition_test.go
@@ -92,6 +92,9 @@
 }
 
 func (s *sim) onPost(o *simOwner, msg order.Msg) {
+	if m, ok := msg.(interface{ Task() order.TaskID }); ok {
+		s.note(m.Task(), "partition gets %T from epoch %d", msg, o.epoch)
+	}
 	switch msg := msg.(type) {
 	case order.OfferMsg:
 		s.onOffer(msg.Task(), msg.Attempt())
@@ -143,6 +146,8 @@
 	outcome := msg.Outcome()
 	ref := crane.NewRef(outcome.Task(), outcome.Attempt())
 	s.toOwner(order.EndedAckMsg{}.WithTask(ref.Task()).WithAttempt(ref.Attempt()))
+	s.note(ref.Task(), "partition gets end of attempt %d: %v %q, not started: %v",
+		ref.Attempt(), outcome.Code(), outcome.Text(), msg.NotStarted())
 	if msg.NotStarted() {
 		s.registry.Invariant(!s.ran[ref], "G7", "%v ran and is reported as not started", ref)
 		s.notStarted[ref] = true
--- a/berth/sim_test.go
+++ b/berth/sim_test.go
@@ -7,6 +7,7 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -27,6 +28,7 @@
 		t        *rapid.T
 		rng      *rand.Rand
 		now      time.Time
+		began    time.Time
 		agenda   agenda
 		sequence int
 		registry *gauge.Registry
@@ -44,6 +46,7 @@
 		ran        map[crane.Ref]bool
 		notStarted map[crane.Ref]bool
 		starts     int
+		history    map[order.TaskID][]string
 	}
 
 	simTask struct {
@@ -103,7 +106,9 @@
 		lowering:   make(map[order.TeamName]allotment),
 		ran:        make(map[crane.Ref]bool),
 		notStarted: make(map[crane.Ref]bool),
+		history:    make(map[order.TaskID][]string),
 	}
+	s.began = s.now
 	s.registry.SetStrict(true)
 	for i := range 4 {
 		size := order.Resources{}.WithCores(4000).WithMemory(4 << 30)
@@ -167,7 +172,12 @@
 }
 
 func (s *sim) toOwner(msg order.Msg) {
-	s.send(func() { s.owner.deliver(messageEvent{message: msg}) })
+	s.send(func() {
+		if m, ok := msg.(interface{ Task() order.TaskID }); ok {
+			s.note(m.Task(), "epoch %d gets %T %+v", s.owner.epoch, msg, msg)
+		}
+		s.owner.deliver(messageEvent{message: msg})
+	})
 }
 
 // Checks a start directly after it was written: G2, G5 and G9.
@@ -202,6 +212,7 @@
 	s.registry.Invariant(!s.notStarted[ref], "G7", "%v runs after it was reported as not started", ref)
 	s.registry.Invariant(!s.ran[ref], "G8", "%v runs twice", ref)
 	s.ran[ref] = true
+	s.note(id, "runs on %s attempt %d epoch %d", w.spec.ID(), start.Attempt(), start.Epoch())
 }
 
 func (s *sim) readAllotments() allotmentsResult {
@@ -211,6 +222,27 @@
 	return allotmentsResult{records: maps.Clone(s.recorded)}
 }
 
+// Keeps the history of a task, which a failed run prints.
+func (s *sim) note(id order.TaskID, format string, args ...any) {
+	line := fmt.Sprintf("%12s ", s.now.Sub(s.began)) + fmt.Sprintf(format, args...)
+	s.history[id] = append(s.history[id], line)
+}
+
+// Prints the history of the tasks that a panic of an invariant names.
+func (s *sim) explain() {
+	failure := recover()
+	if failure == nil {
+		return
+	}
+	text := fmt.Sprint(failure)
+	for _, id := range sortedKeys(s.history) {
+		if strings.Contains(text, string(id)) {
+			s.t.Log(strings.Join(s.history[id], "\n"))
+		}
+	}
+	panic(failure)
+}
+
 func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K { return slices.Sorted(maps.Keys(m)) }
 
 // Len implements heap.Interface.
--- a/berth/sim_worker_test.go
+++ b/berth/sim_worker_test.go
@@ -102,6 +102,9 @@
 }
 
 func (w *simWorker) crash() {
+	for id := range w.running {
+		w.s.note(id, "%s crashes", w.spec.ID())
+	}
 	w.reset()
 	w.backlog = nil
 	w.paused = false
@@ -137,6 +140,7 @@
 		reason = crane.ReasonNoRoom
 	}
 	if reason != "" {
+		w.s.note(id, "%s refuses attempt %d epoch %d: %s", w.spec.ID(), start.Attempt(), start.Epoch(), reason)
 		return crane.Stamp{}, crane.NewRefusedError(reason)
 	}
 	r := &simRun{start: start, lease: lease, began: w.s.now}
@@ -167,6 +171,7 @@
 		code = order.WorkerLost
 	}
 	delete(w.running, id)
+	w.s.note(id, "%s ends attempt %d with %v", w.spec.ID(), r.start.Attempt(), code)
 	w.sequence++
 	outcome := order.Outcome{}.WithTask(id).WithAttempt(r.start.Attempt()).WithCode(code).
 		WithWorker(w.spec.ID()).WithStarted(r.began).WithEnded(w.s.now)
--- a/berth/starts.go
+++ b/berth/starts.go
@@ -247,7 +247,7 @@
 func (m *machine) sendStop(now time.Time, e *entry) {
 	e.stopAt = now.Add(stopRetry)
 	if e.state == order.TaskRunning {
-		m.emit(stopCommand{worker: e.host.id(), ref: e.ref(), checkpoint: e.checkpoint})
+		m.stop(e.host.id(), e.ref(), e.checkpoint)
 	}
 }
 
@@ -291,6 +291,12 @@
 		m.lost(now, e)
 		return
 	}
+	// A worker that restarted may have run the task before; a repeated start
+	// would run it again.
+	if e.host.stamp.Incarnation() != e.startStamp.Incarnation() {
+		m.lost(now, e)
+		return
+	}
 	if now.Before(e.retryAt) || now.After(e.leaseBase.Add(stampLife)) || e.stopping {
 		return
 	}
