--- /dev/null
+++ b/logbook/journal_test.go
@@ -0,0 +1,66 @@
+package logbook_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+
+	"chervilhollow/depot"
+	"chervilhollow/logbook"
+	"chervilhollow/tide"
+)
+
+type guard time.Duration
+
+func (g guard) Remaining() time.Duration { return time.Duration(g) }
+
+// Guards against an Append that returns before the record is in the store, a
+// record that an uncertain write loses, and a goroutine that stays.
+func TestJournalAppends(t *testing.T) {
+	// The library of the meters keeps one goroutine for the process.
+	defer goleak.VerifyNone(t, goleak.IgnoreTopFunction("github.com/rcrowley/go-metrics.(*meterArbiter).tick"))
+	is := is.New(t)
+	ctx := context.Background()
+	clock := tide.New()
+	store := depot.NewMemory(clock)
+	j, records, err := logbook.Open(ctx, partition, 1, store, clock, guard(time.Second))
+	is.NoErr(err)
+	is.Equal(len(records), 0)
+	is.NoErr(j.Append(ctx, record(logbook.Accepted, "a", start)))
+	store.LoseAnswers(1)
+	is.NoErr(j.Append(ctx, record(logbook.Starting, "a", start)))
+	store.SetOutage(true)
+	failed := make(chan error, 1)
+	token, err := j.Start(record(logbook.Accepted, "b", start), func(err error) { failed <- err })
+	is.NoErr(err)
+	time.Sleep(2 * logbook.Interval)
+	is.True(j.Cancel(token)) // an outage certainly wrote nothing
+	_, err = j.Start(record(logbook.Accepted, "c", start), func(err error) { failed <- err })
+	is.NoErr(err)
+	j.Close()
+	is.True(errors.Is(<-failed, logbook.ErrClosed))
+	store.SetOutage(false)
+	next, records, err := logbook.Open(ctx, partition, 2, store, clock, guard(time.Second))
+	is.NoErr(err)
+	defer next.Close()
+	is.Equal(len(records), 1)
+	is.Equal(records[0].Kind(), logbook.Starting)
+}
+
+// Guards against a journal that writes after its promise has ended.
+func TestJournalNeedsGuard(t *testing.T) {
+	is := is.New(t)
+	clock := tide.New()
+	store := depot.NewMemory(clock)
+	j, _, err := logbook.Open(context.Background(), partition, 1, store, clock, guard(0))
+	is.NoErr(err)
+	defer j.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+	defer cancel()
+	err = j.Append(ctx, record(logbook.Accepted, "a", start))
+	is.True(errors.Is(err, context.DeadlineExceeded))
+}
--- a/logbook/log.go
+++ b/logbook/log.go
@@ -270,7 +270,7 @@
 	due := time.Time{}
 	switch {
 	case l.flight != nil:
-		return l.retryAt
+		due = l.lastWrite
 	case len(l.pending) > 0 || l.snapshot != nil:
 		due = l.lastWrite.Add(l.interval)
 	case len(l.obsolete) > 0:
--- /dev/null
+++ b/logbook/log_test.go
@@ -0,0 +1,273 @@
+package logbook_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"chervilhollow/depot"
+	"chervilhollow/logbook"
+	"chervilhollow/order"
+	"chervilhollow/tide"
+)
+
+const partition = order.PartitionID("r/03")
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func record(kind logbook.Kind, id string, at time.Time) logbook.Record {
+	r := order.Request{}.WithTeam("toys").WithID(order.RequestID(id))
+	return logbook.NewRecord(kind, r, 7, at)
+}
+
+// openFenced returns a log that has written its first segment.
+func openFenced(t interface{ Fatalf(string, ...any) }, store depot.Store, epoch order.Epoch, now time.Time) *logbook.Log {
+	for range 1000 {
+		entries, _, err := store.List(context.Background(), logbook.Prefix(partition))
+		if err != nil {
+			continue
+		}
+		l, err := logbook.NewLog(partition, epoch, fmt.Sprint("owner", epoch), entries)
+		if err != nil {
+			t.Fatalf("replay: %v", err)
+		}
+		op := l.Fence(now)
+		l.Done(now, op, logbook.Execute(context.Background(), store, op))
+		if l.Fenced() {
+			return l
+		}
+	}
+	t.Fatalf("the journal cannot be opened")
+	return nil
+}
+
+// pump makes the calls that are due and returns the completions.
+func pump(l *logbook.Log, store depot.Store, now time.Time) []logbook.Completion {
+	var all []logbook.Completion
+	for range 10 {
+		op, ok := l.Next(now)
+		if !ok {
+			break
+		}
+		all = append(all, l.Done(now, op, logbook.Execute(context.Background(), store, op))...)
+	}
+	return all
+}
+
+// Guards against a write for each record, and against records that wait longer
+// than the interval.
+func TestGroupCommit(t *testing.T) {
+	is := is.New(t)
+	clock := tide.NewManual(start)
+	store := depot.NewMemory(clock)
+	l := openFenced(t, store, 1, clock.Now())
+	clock.Advance(logbook.Interval)
+	_, err := l.Add(record(logbook.Accepted, "a", start))
+	is.NoErr(err)
+	is.Equal(len(pump(l, store, clock.Now())), 1) // the last write is old: at once
+	for i := range 100 {
+		_, err := l.Add(record(logbook.Accepted, fmt.Sprint(i), start))
+		is.NoErr(err)
+	}
+	clock.Advance(logbook.Interval - time.Millisecond)
+	is.Equal(len(pump(l, store, clock.Now())), 0) // gathered
+	clock.Advance(time.Millisecond)
+	is.Equal(len(pump(l, store, clock.Now())), 100) // in one segment
+	is.Equal(store.Calls(depot.CallSwap), int64(3))
+	is.Equal(len(openFenced(t, store, 2, clock.Now()).Records()), 101)
+}
+
+// Guards against an owner that goes on after another one has taken over.
+func TestFencing(t *testing.T) {
+	is := is.New(t)
+	clock := tide.NewManual(start)
+	store := depot.NewMemory(clock)
+	old := openFenced(t, store, 1, clock.Now())
+	openFenced(t, store, 2, clock.Now())
+	clock.Advance(time.Second)
+	_, err := old.Add(record(logbook.Starting, "a", start))
+	is.NoErr(err)
+	done := pump(old, store, clock.Now())
+	is.Equal(len(done), 1)
+	is.True(errors.Is(done[0].Err(), logbook.ErrFenced))
+	_, err = old.Add(record(logbook.Starting, "b", start))
+	is.True(errors.Is(err, logbook.ErrFenced))
+	_, err = logbook.NewLog(partition, 1, "late", entries(t, store))
+	is.True(errors.Is(err, logbook.ErrFenced)) // a lower epoch cannot open it
+}
+
+func entries(t testing.TB, store depot.Store) []depot.Entry {
+	t.Helper()
+	all, _, err := store.List(context.Background(), logbook.Prefix(partition))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return all
+}
+
+// Guards against a journal that grows without bound, segments above the
+// store's limit, and outcomes that outlive their retention or are lost.
+func TestCompaction(t *testing.T) {
+	is := is.New(t)
+	clock := tide.NewManual(start)
+	store := depot.NewMemory(clock)
+	l := openFenced(t, store, 1, clock.Now())
+	body := make([]byte, logbook.MaxOutcomeBody)
+	write := func(kind logbook.Kind, id string, body []byte) {
+		r := record(kind, id, clock.Now()).WithOutcome(order.Outcome{}.WithBody(body))
+		_, err := l.Add(r)
+		is.NoErr(err)
+		clock.Advance(logbook.Interval)
+		pump(l, store, clock.Now())
+	}
+	write(logbook.Ended, "old", body)
+	clock.Advance(logbook.Retention)
+	write(logbook.Accepted, "open", nil)
+	for i := range 300 {
+		write(logbook.Ended, fmt.Sprint("r", i%20), body)
+	}
+	for range 200 {
+		clock.Advance(logbook.Interval)
+		pump(l, store, clock.Now())
+	}
+	size := 0
+	for _, e := range entries(t, store) {
+		size += len(e.Value())
+		is.True(len(e.Value()) < depot.MaxValue)
+	}
+	is.True(size < 12<<20) // twice the live records and some
+	records := openFenced(t, store, 2, clock.Now()).Records()
+	ids := make(map[order.RequestID]bool)
+	for _, r := range records {
+		ids[r.Key().Request] = true
+	}
+	is.Equal(len(ids), 21)
+	is.True(ids["open"])
+	is.True(!ids["old"])
+}
+
+// Guards against a late segment of a fenced owner, below the snapshot of its
+// successor, that is replayed.
+func TestLateSegmentBelowSnapshot(t *testing.T) {
+	is := is.New(t)
+	clock := tide.NewManual(start)
+	store := depot.NewMemory(clock)
+	old := openFenced(t, store, 1, clock.Now())
+	clock.Advance(time.Second)
+	_, err := old.Add(record(logbook.Accepted, "late", start))
+	is.NoErr(err)
+	late, ok := old.Next(clock.Now())
+	is.True(ok)
+	l := openFenced(t, store, 2, clock.Now())
+	body := make([]byte, logbook.MaxOutcomeBody)
+	for range 200 {
+		_, err := l.Add(record(logbook.Ended, "r", clock.Now()).WithOutcome(order.Outcome{}.WithBody(body)))
+		is.NoErr(err)
+		clock.Advance(logbook.Interval)
+		pump(l, store, clock.Now())
+	}
+	result := logbook.Execute(context.Background(), store, late)
+	is.Equal(len(old.Done(clock.Now(), late, result)), 1) // its key was deleted
+	for _, r := range openFenced(t, store, 3, clock.Now()).Records() {
+		is.True(r.Key().Request != "late")
+	}
+}
+
+// Guards against a record that is reported as written and lost, one that was
+// taken back and is replayed, and two owners that both append, under outages,
+// lost requests and answers, late writes and changes of owner.
+func TestRandomFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		clock := tide.NewManual(start)
+		store := depot.NewMemory(clock)
+		fault := rapid.SampledFrom([]depot.Fault{depot.FaultNone, depot.FaultNone, depot.FaultNone, depot.FaultUnavailable, depot.FaultAnswerLost, depot.FaultRequestLost})
+		store.SetFaults(func(depot.Call) depot.Fault { return fault.Draw(t, "fault") })
+		epoch := order.Epoch(1)
+		l := openFenced(t, store, epoch, clock.Now())
+		pending := make(map[logbook.Token]string)
+		written := make(map[string]bool)
+		cancelled := make(map[string]bool)
+		var (
+			zombies []logbook.Op
+			op      *logbook.Op
+			added   int
+		)
+		step := func() {
+			if op == nil {
+				if next, ok := l.Next(clock.Now()); ok {
+					op = &next
+				}
+				return
+			}
+			done := l.Done(clock.Now(), *op, logbook.Execute(context.Background(), store, *op))
+			op = nil
+			for _, c := range done {
+				if c.Err() != nil {
+					t.Fatalf("the only owner is fenced: %v", c.Err())
+				}
+				written[pending[c.Token()]] = true
+				delete(pending, c.Token())
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"add": func(t *rapid.T) {
+				added++
+				id := fmt.Sprint("r", added)
+				token, err := l.Add(record(logbook.Accepted, id, clock.Now()))
+				if err != nil {
+					t.Fatalf("add: %v", err)
+				}
+				pending[token] = id
+			},
+			"cancel": func(t *rapid.T) {
+				for token, id := range pending {
+					if l.Cancel(token) {
+						cancelled[id] = true
+						delete(pending, token)
+					}
+					return
+				}
+			},
+			"step": func(t *rapid.T) { step() },
+			"wait": func(t *rapid.T) {
+				clock.Advance(50 * time.Millisecond)
+				step()
+			},
+			"owner": func(t *rapid.T) {
+				if op != nil {
+					zombies = append(zombies, *op)
+					op = nil
+				}
+				epoch++
+				l = openFenced(t, store, epoch, clock.Now())
+				pending = make(map[logbook.Token]string)
+			},
+			"late write": func(t *rapid.T) {
+				for _, z := range zombies {
+					logbook.Execute(context.Background(), store, z)
+				}
+				zombies = nil
+			},
+		})
+		store.SetFaults(nil)
+		found := make(map[string]bool)
+		for _, r := range openFenced(t, store, epoch+1, clock.Now()).Records() {
+			found[string(r.Key().Request)] = true
+		}
+		for id := range written {
+			if !found[id] {
+				t.Fatalf("record %s was reported as written and is lost", id)
+			}
+		}
+		for id := range cancelled {
+			if found[id] {
+				t.Fatalf("record %s was taken back and is replayed", id)
+			}
+		}
+	})
+}
