--- a/cmd/ctl/main_test.go
+++ b/cmd/ctl/main_test.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"regexp"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -244,3 +245,34 @@
 	is.True(time.Since(begin) >= 300*time.Millisecond)
 	is.Equal(c.config().Revision(), order.Revision(2))
 }
+
+// Guards against a lost race that is not told, or overwrites the other
+// operator's change.
+func TestConflict(t *testing.T) {
+	is := is.New(t)
+	c := newCell(t)
+	var once sync.Once
+	racing := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/v1/swap" {
+			once.Do(func() { c.otherOperator() })
+		}
+		c.store.ServeHTTP(w, r)
+	}))
+	t.Cleanup(racing.Close)
+	status, out := c.ctl("--store", racing.URL, "team", "set", "toys", "--share", "2", "--limit", "40")
+	is.Equal(status, exitConflict)
+	is.True(strings.Contains(out, "revision 1 by ben"))
+	is.True(strings.Contains(out, "take domain east out"))
+	is.Equal(len(c.config().Teams()), 0)
+}
+
+func (c *cell) otherOperator() {
+	c.t.Helper()
+	editor := sheet.NewEditor(c.store.Memory(), tide.New(), sheet.WithAuthor("ben"))
+	_, err := editor.Edit(context.Background(), func(*sheet.Config) ([]sheet.Edit, error) {
+		return []sheet.Edit{sheet.SetDomain("east", false, sheet.SourceOperator)}, nil
+	})
+	if err != nil {
+		c.t.Error(err)
+	}
+}
--- a/sheet/editor.go
+++ b/sheet/editor.go
@@ -287,11 +287,13 @@
 	return &ConflictError{base: base.config.revision, changes: changes}
 }
 
+// unresolved hides the class of the cause, which may be an unavailable read,
+// behind that of the change.
 func unresolved(uncertain bool, cause error) error {
 	if uncertain {
-		return fmt.Errorf("the change may have been recorded: %w: %w", depot.ErrUncertain, cause)
+		return fmt.Errorf("the change may have been recorded: %w: %v", depot.ErrUncertain, cause)
 	}
-	return fmt.Errorf("the change was not recorded: %w: %w", depot.ErrUnavailable, cause)
+	return fmt.Errorf("the change was not recorded: %w: %v", depot.ErrUnavailable, cause)
 }
 
 // drop deletes snapshots that the root record no longer names. A failure
