--- a/berth/machine_rapid_test.go
+++ b/berth/machine_rapid_test.go
@@ -26,7 +26,7 @@
 		s := newSim(t)
 		defer s.explain()
 		for range rapid.IntRange(1, rapidSteps).Draw(t, "steps") {
-			s.act(rapid.IntRange(0, 19).Draw(t, "action"))
+			s.act(rapid.IntRange(0, 21).Draw(t, "action"))
 			s.advance(time.Duration(rapid.IntRange(1, 2000).Draw(t, "ms")) * time.Millisecond)
 		}
 		s.heal()
@@ -67,7 +67,10 @@
 		s.changeAllotment(team, rapid.IntRange(0, 8).Draw(s.t, "allotment"))
 	case 17, 18:
 		s.takeover(rapid.IntRange(0, 2).Draw(s.t, "kind"))
-	case 19:
+	case 19, 20:
+		w.paused = true
+		s.after(time.Duration(rapid.IntRange(500, 4000).Draw(s.t, "pause"))*time.Millisecond, w.wake)
+	case 21:
 		for _, id := range sortedKeys(s.tasks) {
 			if s.rng.IntN(2) == 0 {
 				s.tasks[id].cancel = true
