Take new requests until the balancer can know of a planned stop

Cause: a gate refused with code 204 as soon as it got SIGTERM, so requests that the balancer sent until its next look were turned away. Ruled out: the placers; no request was lost on their side. The gate now reports not ready and takes requests for drain_delay (2 s) before it refuses.

--- a/chart/chart.go
+++ b/chart/chart.go
@@ -54,6 +54,7 @@
 		CallTimeout     Duration `json:"call_timeout" help:"time a status or cancel call may take"`
 		ResendInterval  Duration `json:"resend_interval" help:"time without acknowledgement before a message is sent again"`
 		StopTimeout     Duration `json:"stop_timeout" help:"time that open requests get at a planned stop"`
+		DrainDelay      Duration `json:"drain_delay" help:"time that new requests are still taken at a planned stop after the gate reports not ready"`
 		StopLinger      Duration `json:"stop_linger" help:"time that new requests are still refused with an answer at a planned stop"`
 		TeamRate        float64  `json:"team_rate" help:"requests per second of one team at this gate"`
 		TeamBurst       int      `json:"team_burst" help:"requests of one team above the rate at once"`
@@ -97,7 +98,8 @@
 			CallTimeout:     Duration(5 * time.Second),
 			ResendInterval:  Duration(250 * time.Millisecond),
 			StopTimeout:     Duration(30 * time.Second),
-			StopLinger:      Duration(2 * time.Second),
+			DrainDelay:      Duration(2 * time.Second),
+			StopLinger:      Duration(500 * time.Millisecond),
 			TeamRate:        2000,
 			TeamBurst:       4000,
 		},
@@ -169,6 +171,9 @@
 	c.Positive("limits.call_timeout", float64(l.CallTimeout))
 	c.Positive("limits.resend_interval", float64(l.ResendInterval))
 	c.Positive("limits.stop_timeout", float64(l.StopTimeout))
+	if l.DrainDelay < 0 {
+		c.Fault("limits.drain_delay", "must not be negative")
+	}
 	if l.StopLinger < 0 {
 		c.Fault("limits.stop_linger", "must not be below zero")
 	}
@@ -253,6 +258,10 @@
 // StopTimeout returns the time that open requests get at a planned stop.
 func (s Gate) StopTimeout() time.Duration { return time.Duration(s.w.Limits.StopTimeout) }
 
+// DrainDelay returns how long new requests are still taken at a planned stop
+// after the gate reports that it is not ready.
+func (s Gate) DrainDelay() time.Duration { return time.Duration(s.w.Limits.DrainDelay) }
+
 // StopLinger returns how long new requests are still refused with an answer at
 // a planned stop.
 func (s Gate) StopLinger() time.Duration { return time.Duration(s.w.Limits.StopLinger) }
--- a/order/ids.go
+++ b/order/ids.go
@@ -135,3 +135,9 @@
 	}
 	return RequestPartition(TeamName(team), RequestID(rest[:end]))
 }
+
+// Team returns the team of the task.
+func (t TaskID) Team() TeamName {
+	team, _, _ := strings.Cut(string(t), "/")
+	return TeamName(team)
+}
--- a/sample/worker_audit.go
+++ b/sample/worker_audit.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"maps"
 	"net/http"
 	"sync"
 	"time"
@@ -20,6 +21,7 @@
 		concurrent []order.TaskID
 		aboveRoom  []order.TaskID
 		aboveUse   int
+		workers    map[order.WorkerID]int
 	}
 
 	// WorkerAudit is the report of the stand-in about all runs.
@@ -32,11 +34,20 @@
 		AboveRoom  []order.TaskID       `json:"above_room"`
 		AboveUse   int                  `json:"above_use"`
 		Runs       map[order.TaskID]int `json:"runs,omitempty"`
+
+		// Workers counts the starts of each worker, Teams the tasks of each
+		// team that run now.
+		Workers map[order.WorkerID]int `json:"workers,omitempty"`
+		Teams   map[order.TeamName]int `json:"teams,omitempty"`
 	}
 )
 
 func newAudit() *audit {
-	return &audit{runs: make(map[order.TaskID]int), live: make(map[order.TaskID][]*run)}
+	return &audit{
+		runs:    make(map[order.TaskID]int),
+		live:    make(map[order.TaskID][]*run),
+		workers: make(map[order.WorkerID]int),
+	}
 }
 
 // Audit returns the report with the number of runs of each task.
@@ -49,6 +60,7 @@
 	id := r.start.Task
 	a.starts++
 	a.runs[id]++
+	a.workers[w.spec.ID]++
 	for _, other := range a.live[id] {
 		// A paused worker ends lapsed tasks when it wakes; the platform has
 		// ended them by then.
@@ -93,6 +105,8 @@
 		AboveUse:   a.aboveUse,
 	}
 	if all {
+		report.Workers = maps.Clone(a.workers)
+		report.Teams = a.runningTeams()
 		report.Runs = make(map[order.TaskID]int, len(a.runs))
 	}
 	for id, n := range a.runs {
@@ -106,6 +120,14 @@
 	return report
 }
 
+func (a *audit) runningTeams() map[order.TeamName]int {
+	teams := make(map[order.TeamName]int)
+	for id, runs := range a.live {
+		teams[id.Team()] += len(runs)
+	}
+	return teams
+}
+
 func (w *worker) aboveRoom(size func(*run) workerSize) bool {
 	var sum workerSize
 	for _, r := range w.running {
--- a/voyage/cluster_test.go
+++ b/voyage/cluster_test.go
@@ -55,16 +55,20 @@
 
 // cluster is one deployment with its stand-ins.
 type cluster struct {
-	t         *testing.T
-	dir       string
-	bin       string
-	processes map[string]*process
-	store     string
-	hosts     string
-	workers   string
-	gates     []string
-	admins    map[string]string
-	flows     map[string]*flow
+	t          *testing.T
+	dir        string
+	bin        string
+	processes  map[string]*process
+	store      string
+	hosts      string
+	workers    string
+	gates      []string
+	gateAdmins []string
+	admins     map[string]string
+	flows      map[string]*flow
+
+	balancer *balancer
+	noted    map[order.WorkerID]int
 }
 
 // newCluster starts stand-ins and entry hosts, imports the sheet and waits
@@ -100,6 +104,7 @@
 			return nil, err
 		}
 	}
+	c.balancer = newBalancer(c)
 	return c, c.begin()
 }
 
@@ -135,6 +140,7 @@
 	gate, placer := fmt.Sprintf("gate%d", number), fmt.Sprintf("placer%d", number)
 	c.admins[gate], c.admins[placer] = ports[1], ports[4]
 	c.gates = append(c.gates, "http://"+ports[2])
+	c.gateAdmins = append(c.gateAdmins, ports[1])
 	callers := fmt.Sprintf("%q: %q,", "caller_address", ports[2])
 	gateFile, err := writeFile(c.dir, gate+".json",
 		fmt.Sprintf(settingsFormat, ports[0], ports[1], callers, domain, c.store, c.hosts))
@@ -229,8 +235,20 @@
 	return strings.Split(text.String(), "\n"), err
 }
 
+// gate returns the URL of a gate that the balancer holds ready.
+func (c *cluster) gate(turn int) string {
+	ready := c.balancer.ready()
+	if len(ready) == 0 {
+		ready = c.gates
+	}
+	return ready[turn%len(ready)]
+}
+
 // close ends what still runs; a test has checked graceful ends before.
 func (c *cluster) close() {
+	if c.balancer != nil {
+		c.balancer.close()
+	}
 	for _, p := range c.processes {
 		if p.running() {
 			_ = p.signal(syscall.SIGCONT)
--- a/voyage/flow_test.go
+++ b/voyage/flow_test.go
@@ -10,6 +10,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"chervilhollow/order"
 )
 
 type (
@@ -84,7 +86,7 @@
 	switch {
 	case err != nil:
 		f.faults = append(f.faults, fmt.Sprintf("%s: %v", id, err))
-	case a.ID != id && !f.options["withdrawn"]:
+	case a.ID != id && a.Code != int(order.KeyWithdrawn):
 		f.faults = append(f.faults, fmt.Sprintf("%s: got the answer of %q", id, a.ID))
 	case a.Code == 0 && string(a.Result) != want:
 		f.faults = append(f.faults, fmt.Sprintf("%s: got the result %q", id, a.Result))
@@ -101,8 +103,7 @@
 	)
 	end := time.Now().Add(f.limit + 5*time.Second)
 	for attempt := 0; time.Now().Before(end); attempt++ {
-		gate := f.c.gates[(i+attempt)%len(f.c.gates)]
-		a, last = f.call(http.MethodPost, gate+"/v1/requests", body)
+		a, last = f.call(http.MethodPost, f.c.gate(i+attempt)+"/v1/requests", body)
 		if last == nil && !f.again(a) {
 			return a, nil
 		}
@@ -119,8 +120,7 @@
 	var last error
 	end := time.Now().Add(f.limit + 5*time.Second)
 	for attempt := 0; time.Now().Before(end); attempt++ {
-		gate := f.c.gates[(i+attempt)%len(f.c.gates)]
-		a, err := f.call(http.MethodGet, gate+"/v1/requests/"+id+"/result?wait_ms=2000", "")
+		a, err := f.call(http.MethodGet, f.c.gate(i+attempt)+"/v1/requests/"+id+"/result?wait_ms=2000", "")
 		if err == nil && a.State == "done" {
 			return a, nil
 		}
--- a/voyage/voyage_test.go
+++ b/voyage/voyage_test.go
@@ -56,6 +56,11 @@
 			"audit":    scripted(t, checkAudit),
 			"runsonce": scripted(t, runsOnce),
 			"holds":    scripted(t, invariantsHold),
+			"atmost":   scripted(t, atMost),
+			"running":  scripted(t, runningAtMost),
+			"starts":   scripted(t, noteStarts),
+			"nostarts": scripted(t, noNewStarts),
+			"race":     scripted(t, race),
 		},
 	})
 }
@@ -214,7 +219,7 @@
 	if err != nil {
 		return err
 	}
-	ts.Logf("audit: %d starts of %d tasks, %d repeated", audit.Starts, audit.Tasks, len(audit.Repeated))
+	ts.Logf("audit: %d starts of %d tasks, %d repeated; starts per worker %v", audit.Starts, audit.Tasks, len(audit.Repeated), audit.Workers)
 	if len(audit.Concurrent) > 0 || len(audit.AboveRoom) > 0 {
 		return fmt.Errorf("in two places: %v; above room: %v", audit.Concurrent, audit.AboveRoom)
 	}
--- a/window/gate.go
+++ b/window/gate.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/signal"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -50,6 +51,9 @@
 	stopOnce sync.Once
 	stop     chan struct{}
 
+	// leaving tells the balancer to send no more work here.
+	leaving atomic.Bool
+
 	// stopping ends the wait for open requests.
 	stopping context.Context
 	hurry    context.CancelFunc
@@ -179,7 +183,7 @@
 // Ready returns why the balancer should send no work here, or nil.
 func (g *Gate) Ready() error {
 	switch {
-	case g.counter.Stopping():
+	case g.leaving.Load() || g.counter.Stopping():
 		return errStopping
 	case g.config() == nil:
 		return errNoConfiguration
@@ -248,10 +252,21 @@
 		case <-ctx.Done():
 		}
 	}()
+	g.leave(ctx)
 	g.drain(ctx)
 	return nil
 }
 
+// leave takes new requests for a while after the gate reports that it is not
+// ready, because the balancer sends some until its next look.
+func (g *Gate) leave(ctx context.Context) {
+	g.leaving.Store(true)
+	select {
+	case <-g.clock.After(g.settings.DrainDelay()):
+	case <-ctx.Done():
+	}
+}
+
 // drain refuses new requests, lets open ones end, and keeps refusing for a
 // moment so that the balancer sees the gate as not ready and not as broken.
 func (g *Gate) drain(ctx context.Context) {
--- a/window/gate_test.go
+++ b/window/gate_test.go
@@ -142,7 +142,7 @@
 	settings, err := chart.ParseGate("gate.json", []byte(fmt.Sprintf(`{
 		"peer_address": %q, "caller_address": %q, "admin_address": %q,
 		"failure_domain": "east", "store_url": %q, "host_list_url": %q, "peer_secret": %q,
-		"limits": {"stop_linger": "200ms", "stop_timeout": "20s"}
+		"limits": {"drain_delay": "100ms", "stop_linger": "200ms", "stop_timeout": "20s"}
 	}`, freeAddress(t), g.caller, g.admin, c.store.URL, c.store.URL, peerSecret)))
 	is.NoErr(err)
 	g.gate, err = window.NewGate(settings, tide.New(), zerolog.Nop())
@@ -239,6 +239,7 @@
 	status, body := g.get(t, "/ready")
 	is.Equal(status, http.StatusServiceUnavailable)
 	is.Equal(body, "stopping")
+	time.Sleep(200 * time.Millisecond) // twice the drain delay
 	status, code, _ := g.submit(t, "toys-key", "late")
 	is.Equal(status, http.StatusServiceUnavailable)
 	is.Equal(code, order.Stopping)
