--- a/harbour/failure_test.go
+++ b/harbour/failure_test.go
@@ -520,3 +520,48 @@
 	event = c.take()[0].(eventCommand).event.(AcquiredEvent)
 	is.Equal(string(event.State()), "new")
 }
+
+// Guards against a part that stays stopped when a move between two running
+// processes is broken off, and against a promise that counts meanwhile.
+func TestMoveBrokenOff(t *testing.T) {
+	is := is.New(t)
+	c, now := bareProtocol()
+	c.collects = true
+	c.listedAll(now, nil, 0)
+	c.observe(now, part, NewRecord("self/1", "y/1", 4), 7)
+	c.tick(now, reachableView(now))
+	c.take()
+	p := c.owned[part]
+	p.deadline = now.Add(ownerValidity)
+	c.startRelease(now, p, "z/1", false)
+	is.Equal(c.take()[0].(collectCommand).epoch, order.Epoch(4))
+	is.Equal(c.deadlines.until(part, 4), int64(0))
+	c.collected(now, part, 4, []byte("state"))
+	out := c.take()
+	is.Equal(string(out[0].(sendCommand).msg.(order.HandoverMsg).State()), "state")
+	is.Equal(out[1].(swapCommand).record.epoch, order.Epoch(5))
+	c.swapped(now, part, 0, depot.ErrUnavailable)
+	out = c.take()
+	is.Equal(out[0].(eventCommand).event, LostEvent{partition: part, epoch: 4})
+	is.Equal(string(out[1].(eventCommand).event.(AcquiredEvent).State()), "state")
+	is.True(c.deadlines.until(part, 4) > 0)
+}
+
+// Guards against an invariant check that never fires: two owners of one epoch
+// and an epoch that falls must be reported.
+func TestInvariantsFire(t *testing.T) {
+	is := is.New(t)
+	registry := gauge.New(zerolog.Nop())
+	c := newProtocol("self/1", "a", simStart, registry, zerolog.Nop())
+	now := simStart.Add(time.Minute)
+	c.observe(now, part, NewRecord("x/1", "y/1", 4), 7)
+	c.observe(now, part, NewRecord("z/1", "y/1", 4), 8)
+	is.Equal(registry.Counter("invariant.broken.one_owner_per_epoch"), int64(1))
+	c.observe(now, part, NewRecord("z/1", "y/1", 3), 9)
+	is.Equal(registry.Counter("invariant.broken.epoch_rises"), int64(1))
+	is.Equal(len(heartbeatOf(c, now, "x/1", 3).Granted()), 0)
+	is.Equal(registry.Counter("invariant.broken.one_owner_per_epoch"), int64(2))
+	c.partitions[part].promised = now.Add(time.Second)
+	c.takeOver(now, c.partitions[part])
+	is.Equal(registry.Counter("invariant.broken.no_claim_within_promise"), int64(1))
+}
--- a/harbour/keeper.go
+++ b/harbour/keeper.go
@@ -64,6 +64,8 @@
 		waiters   map[order.PartitionID]chan error
 		slots     chan struct{}
 		workers   sync.WaitGroup
+		current   []roster.Member
+		looks     int
 
 		mu      sync.Mutex
 		planned func(order.PartitionID) []byte
@@ -99,6 +101,7 @@
 	recordWatch    = 5 * time.Second
 	watchRetry     = 250 * time.Millisecond
 	hostListMaxAge = 10 * time.Second
+	membersEvery   = 4
 )
 
 // ErrClosed reports that the Keeper does not run any more.
@@ -334,14 +337,21 @@
 	return k.events, k.backlog[0]
 }
 
+// look returns what the process knows of the others. The list of members is
+// sorted anew for each caller, so it is fetched less often.
 func (k *Keeper) look() view {
+	if k.looks%membersEvery == 0 {
+		k.current = k.members.Members()
+	}
+	k.looks++
+	reachable := k.members.StoreReachable()
 	return view{
-		members:    k.members.Members(),
+		members:    k.current,
 		listed:     k.members.Listed(),
-		reachable:  k.members.StoreReachable(),
+		reachable:  reachable,
 		storeSeen:  k.members.StoreSeen(),
 		leaseUntil: k.members.LeaseUntil(),
-		mostLost:   k.state.MostLostStore(),
+		mostLost:   !reachable && k.state.MostLostStore(),
 		revision:   k.state.Revision(),
 		shows:      k.shows,
 	}
--- a/harbour/keeper_test.go
+++ b/harbour/keeper_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 	"testing"
@@ -27,9 +28,17 @@
 		cut   func(from, to order.MemberID) bool
 	}
 
+	// link is the way of one process to the store.
+	link struct {
+		depot.Store
+		mu     sync.Mutex
+		silent bool
+	}
+
 	// node is one process: membership, peers and ownership.
 	node struct {
 		id       order.MemberID
+		link     *link
 		net      *network
 		members  *roster.Members
 		peers    *roster.Peers
@@ -51,6 +60,68 @@
 	}
 }
 
+func (l *link) setSilent(silent bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.silent = silent
+}
+
+// wait blocks like a call over a cut link until the caller gives up.
+func (l *link) wait(ctx context.Context) error {
+	l.mu.Lock()
+	silent := l.silent
+	l.mu.Unlock()
+	if !silent {
+		return nil
+	}
+	<-ctx.Done()
+	return errors.Join(depot.ErrUncertain, ctx.Err())
+}
+
+// Swap implements depot.Store.
+func (l *link) Swap(ctx context.Context, key string, expected depot.Version, value []byte, lease depot.LeaseID) (depot.Version, error) {
+	if err := l.wait(ctx); err != nil {
+		return 0, err
+	}
+	return l.Store.Swap(ctx, key, expected, value, lease)
+}
+
+// Get implements depot.Store.
+func (l *link) Get(ctx context.Context, key string) (depot.Entry, error) {
+	if err := l.wait(ctx); err != nil {
+		return depot.Entry{}, err
+	}
+	return l.Store.Get(ctx, key)
+}
+
+// Watch implements depot.Store.
+func (l *link) Watch(ctx context.Context, prefix string, after depot.Version, wait time.Duration) ([]depot.Event, depot.Version, error) {
+	if err := l.wait(ctx); err != nil {
+		return nil, 0, err
+	}
+	events, version, err := l.Store.Watch(ctx, prefix, after, wait)
+	if cut := l.wait(ctx); cut != nil {
+		return nil, 0, cut
+	}
+	return events, version, err
+}
+
+// KeepAlive implements depot.Store.
+func (l *link) KeepAlive(ctx context.Context, lease depot.LeaseID) error {
+	if err := l.wait(ctx); err != nil {
+		return err
+	}
+	return l.Store.KeepAlive(ctx, lease)
+}
+
+// Revoke implements depot.Store.
+func (l *link) Revoke(ctx context.Context, lease depot.LeaseID) error {
+	if err := l.wait(ctx); err != nil {
+		return err
+	}
+	return l.Store.Revoke(ctx, lease)
+}
+
 // Send implements order.Sender for the node.
 func (v *node) Send(to order.MemberID, m order.Msg) error {
 	v.net.mu.Lock()
@@ -69,14 +140,15 @@
 	log := zerolog.Nop()
 	v := &node{
 		id:       order.NewMemberID(name),
+		link:     &link{Store: store},
 		net:      n,
 		registry: gauge.New(log),
 		acquired: make(map[order.PartitionID]harbour.AcquiredEvent),
 	}
 	v.registry.SetStrict(true)
-	v.members = roster.NewMembers(roster.NewMember(v.id, order.RolePlacer, domain, ""), store, clock)
+	v.members = roster.NewMembers(roster.NewMember(v.id, order.RolePlacer, domain, ""), v.link, clock)
 	v.peers = roster.NewPeers(v.members, v, clock, roster.WithRevision(v.Revision))
-	v.keeper = harbour.New(v.id, domain, store, clock, v, v.members, v.peers, v.registry, log)
+	v.keeper = harbour.New(v.id, domain, v.link, clock, v, v.members, v.peers, v.registry, log)
 	n.mu.Lock()
 	n.nodes[v.id] = v
 	n.mu.Unlock()
@@ -123,9 +195,9 @@
 	return e.Epoch() != 0 && v.keeper.Remaining(id, e.Epoch()) > 0
 }
 
-// stop ends the node like a planned stop without handover.
+// stop ends the node and withdraws its lease.
 func (v *node) stop() {
-	v.kill()
+	v.cancel()
 	v.group.Wait()
 }
 
@@ -134,6 +206,7 @@
 	v.net.mu.Lock()
 	delete(v.net.nodes, v.id)
 	v.net.mu.Unlock()
+	v.link.setSilent(true)
 	v.cancel()
 }
 
@@ -179,22 +252,40 @@
 	}
 }
 
-// Guards against a takeover after the death of a process that takes longer
-// than 3.5 s, and against a directory that does not follow.
-func TestKeeperTakesOver(t *testing.T) {
-	is := is.New(t)
-	store := depot.NewMemory(tide.New())
+// startAll starts placers in two failure domains and waits until each
+// partition has an owner that acts under the promise of a standby.
+func startAll(t *testing.T, store depot.Store, count int, all []order.PartitionID) []*node {
+	t.Helper()
 	net := newNetwork()
 	var nodes []*node
-	for i := range 4 {
+	for i := range count {
 		v := net.start(t, fmt.Sprintf("10.0.0.%d:7000", i), order.DomainName([]string{"a", "b"}[i%2]), store)
 		nodes = append(nodes, v)
-		v.keeper.Ensure(ids(16))
+		v.keeper.Ensure(all)
 	}
-	eventually(t, 6*time.Second, "all partitions served", allServed(nodes, ids(16)))
-	time.Sleep(3 * time.Second)
-	eventually(t, time.Second, "all partitions served with standbys", allServed(nodes, ids(16)))
+	eventually(t, 6*time.Second, "all partitions served with standbys", func() bool {
+		entries, _, err := store.List(context.Background(), "partition/")
+		if err != nil || len(entries) != len(all) || !allServed(nodes, all)() {
+			return false
+		}
+		for _, e := range entries {
+			var r harbour.Record
+			if r.UnmarshalJSON(e.Value()) != nil || r.Standby() == "" {
+				return false
+			}
+		}
+		return true
+	})
+	return nodes
+}
 
+// Guards against a takeover after the death of a process that takes longer
+// than 3.5 s, and against a directory that does not follow.
+func TestKeeperTakesOver(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	store := depot.NewMemory(tide.New())
+	nodes := startAll(t, store, 4, ids(16))
 	victim := nodes[0]
 	victim.kill()
 	rest := nodes[1:]
@@ -206,16 +297,112 @@
 		is.True(owner != victim.id)
 		is.True(epoch >= 1)
 	}
+	_, _, ok := rest[0].keeper.Owner("r/77")
+	is.True(!ok)
+}
+
+// Guards against a planned stop that leaves a gap of seconds or loses the
+// state of a partition.
+func TestKeeperHandsOver(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	store := depot.NewMemory(tide.New())
+	nodes := startAll(t, store, 3, ids(16))
+	leaver, rest := nodes[0], nodes[1:]
+	var owned []order.PartitionID
+	for _, id := range ids(16) {
+		if leaver.acts(id) {
+			owned = append(owned, id)
+		}
+	}
+	is.True(len(owned) > 0)
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	began := time.Now()
+	is.NoErr(leaver.keeper.Handover(ctx, func(id order.PartitionID) []byte { return []byte("state of " + id) }))
+	t.Logf("handover of %d partitions took %s", len(owned), time.Since(began))
+	is.True(allServed(rest, ids(16))())
+	for _, id := range owned {
+		found := actors(rest, id)
+		is.Equal(string(found[0].event(id).State()), "state of "+string(id))
+		is.True(!leaver.acts(id))
+	}
+	leaver.stop()
+	time.Sleep(2 * time.Second)
+	is.True(allServed(rest, ids(16))())
+}
+
+// Guards against a single placer that cannot be stopped because there is no
+// process to hand over to.
+func TestKeeperHandsOverAlone(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	v := newNetwork().start(t, "10.0.0.1:7000", "a", depot.NewMemory(tide.New()))
+	v.keeper.Ensure(ids(2))
+	eventually(t, 3*time.Second, "single placer serves", allServed([]*node{v}, ids(2)))
+	err := v.keeper.Handover(context.Background(), func(order.PartitionID) []byte { return nil })
+	is.True(errors.Is(err, harbour.ErrNoTarget))
+}
+
+// Guards against starts later than 3 s after a process lost the store alone,
+// when no error tells of the loss.
+func TestKeeperStopsWithoutStore(t *testing.T) {
+	t.Parallel()
+	store := depot.NewMemory(tide.New())
+	nodes := startAll(t, store, 4, ids(16))
+	lonely := nodes[0]
+	lonely.link.setSilent(true)
+	took := eventually(t, 3*time.Second, "stops", func() bool {
+		for _, id := range ids(16) {
+			if lonely.acts(id) {
+				return false
+			}
+		}
+		return true
+	})
+	t.Logf("stopped %s after the loss", took)
+	lonely.link.setSilent(false)
+	eventually(t, 3*time.Second, "all served", allServed(nodes, ids(16)))
+}
+
+// Guards against an outage of the store, or a store that answers after
+// seconds, that stops the owners or delays their heartbeats.
+func TestKeeperSurvivesStoreFaults(t *testing.T) {
+	t.Parallel()
+	store := depot.NewMemory(tide.New())
+	nodes := startAll(t, store, 4, ids(16))
+	watchServed := func(d time.Duration, what string) {
+		t.Helper()
+		for began := time.Now(); time.Since(began) < d; time.Sleep(20 * time.Millisecond) {
+			if !allServed(nodes, ids(16))() {
+				t.Fatalf("%s stopped a partition after %s", what, time.Since(began))
+			}
+		}
+	}
+	store.SetOutage(true)
+	watchServed(5*time.Second, "outage")
+	store.SetOutage(false)
+	watchServed(2*time.Second, "the end of the outage")
+	store.SetSlow(2 * time.Second)
+	watchServed(5*time.Second, "slow store")
+	store.SetSlow(0)
+	store.LoseAnswers(3)
+	nodes[1].kill()
+	rest := []*node{nodes[0], nodes[2], nodes[3]}
+	eventually(t, 4500*time.Millisecond, "takeover with lost answers", allServed(rest, ids(16)))
 }
 
-// Guards against goroutines that outlive Close.
+// Guards against goroutines that outlive Close, also while calls to a silent
+// store are open.
 func TestKeeperCloseLeavesNoGoroutine(t *testing.T) {
 	defer goleak.VerifyNone(t)
 	store := depot.NewMemory(tide.New())
-	net := newNetwork()
-	v := net.start(t, "10.0.0.1:7000", "a", store)
+	v := newNetwork().start(t, "10.0.0.1:7000", "a", store)
 	v.keeper.Ensure(ids(16))
 	eventually(t, 3*time.Second, "single placer serves", allServed([]*node{v}, ids(16)))
+	v.link.setSilent(true)
+	v.keeper.Ensure([]order.PartitionID{"g/a/1"})
+	time.Sleep(100 * time.Millisecond)
 	v.keeper.Close()
 	v.keeper.Close()
 	if v.acts(ids(1)[0]) {
@@ -223,3 +410,19 @@
 	}
 	v.stop()
 }
+
+// Guards against a Keeper that blocks its caller or runs after Close.
+func TestKeeperClosedBeforeRun(t *testing.T) {
+	is := is.New(t)
+	clock := tide.New()
+	store := depot.NewMemory(clock)
+	members := roster.NewMembers(roster.NewMember("a/1", order.RolePlacer, "a", ""), store, clock)
+	peers := roster.NewPeers(members, nil, clock)
+	k := harbour.New("a/1", "a", store, clock, nil, members, peers, gauge.New(zerolog.Nop()), zerolog.Nop())
+	k.Close()
+	is.True(errors.Is(k.Run(context.Background()), harbour.ErrClosed))
+	is.Equal(k.Guard("r/00", 1).Remaining(), time.Duration(0))
+	for range 5000 {
+		k.Handle("b/1", order.HeartbeatMsg{})
+	}
+}
--- a/harbour/owner.go
+++ b/harbour/owner.go
@@ -230,10 +230,10 @@
 // case longer than ContactLimit after its last contact with the store.
 func (c *protocol) setLimit(now time.Time) {
 	c.contact = later(c.contact, c.view.storeSeen)
-	limit := c.view.storeSeen.Add(StoreLossLimit)
 	if c.view.mostLost && !c.view.reachable {
-		limit = later(limit, now.Add(mostLimit))
+		c.excused = now.Add(mostLimit)
 	}
+	limit := later(c.view.storeSeen.Add(StoreLossLimit), c.excused)
 	c.deadlines.setLimit(sooner(limit, c.contact.Add(ContactLimit-ContactLimit/driftParts)))
 }
 
--- a/harbour/protocol.go
+++ b/harbour/protocol.go
@@ -45,6 +45,7 @@
 		ticked     time.Time
 		claimAfter time.Time
 		contact    time.Time
+		excused    time.Time
 		followed   time.Time
 		inUse      map[order.MemberID]int
 		move       move
@@ -149,6 +150,10 @@
 	standbySilence = 750 * time.Millisecond
 
 	suspicion = 10 * time.Second
+
+	// The report that most members lost the store holds this long. At the end
+	// of an outage the others may reach the store before this process does,
+	// which tries at least twice a second.
 	mostLimit = time.Second
 
 	// After a pause of its own the process first reads the messages that
@@ -365,7 +370,8 @@
 		c.own(now, p)
 	case p.record.standby == c.self:
 		c.claim(now, p)
-	default:
+	case now.Equal(c.followed):
+		// Absences change only when the members are looked at.
 		c.adopt(now, p)
 	}
 }
--- a/harbour/record.go
+++ b/harbour/record.go
@@ -1,6 +1,16 @@
 // Package harbour is the ownership protocol: it decides which process may act
 // for a partition. An owner acts only while it holds an unexpired promise of
 // the partition's standby not to claim it.
+//
+// A process that sees no other placer owns its partitions without a standby.
+// It then acts only while the lease of its member record is confirmed, which
+// is enough for development with a single placer: such a partition stops with
+// the store, and after the death of its owner it waits until the owner is
+// certain to be gone.
+//
+// The deadlines rely on a clock that does not stand still while the process
+// does. A virtual machine that is suspended with its monotonic clock breaks
+// this; there only the epoch, which workers check, prevents a second start.
 package harbour
 
 import (
--- a/harbour/standby.go
+++ b/harbour/standby.go
@@ -56,9 +56,10 @@
 // only itself, and the owner counts only promises of its confirmed standby.
 func (c *protocol) grant(now time.Time, from order.MemberID, claim order.Claim) bool {
 	p := c.at(claim.Partition())
-	if p.version != 0 && p.record.epoch == claim.Epoch() {
-		c.registry.Invariant(p.record.owner == from, "one_owner_per_epoch",
+	if p.version != 0 && p.record.epoch == claim.Epoch() && p.record.owner != from {
+		c.registry.Invariant(false, "one_owner_per_epoch",
 			"partition %s at epoch %d is owned by %s and claimed by %s", p.id, p.record.epoch, p.record.owner, from)
+		return false
 	}
 	switch {
 	case p.record.epoch > claim.Epoch():
