--- a/berth/group_test.go
+++ b/berth/group_test.go
@@ -283,3 +283,137 @@
 	is.Equal(string(ended.Outcome().Body()), "kept")
 	is.Equal(s.workers.Audit().Starts, 1)
 }
+
+// Guards against one worker that does not answer and delays starts on others
+// (failure table: worker pauses).
+func TestPausedWorkerDelaysNoOther(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, 3)
+	g, stop := s.run(1)
+	defer stop()
+	s.eventually("workers are read", g.Adopted)
+	s.switchWorkers(`{"worker": "east-r1-1", "pause": true}`)
+	const tasks, slots = 60, 4
+	began := time.Now()
+	for i := range tasks {
+		bid(g, testTask(fmt.Sprintf("r%d", i), 1000, `{"run_ms":5}`), 1)
+	}
+	s.eventually("tasks of the other workers end", func() bool { return s.queue.endedCount() >= tasks-slots })
+	is.True(time.Since(began) < 3*time.Second)
+	s.switchWorkers(`{"worker": "east-r1-1", "pause": false}`)
+	s.eventually("all tasks end", func() bool { return s.queue.endedCount() == tasks })
+	audit := s.workers.Audit()
+	is.Equal(len(audit.Repeated), 0)
+	is.Equal(len(audit.AboveRoom), 0)
+}
+
+// Guards against a crashed worker whose tasks are reported only after their
+// lease, although its next answer shows that they are gone (failure table:
+// worker dies).
+func TestCrashedWorkerIsNoticedAtOnce(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, 1)
+	g, stop := s.run(1)
+	defer stop()
+	task := testTask("long", 1000, `{"run_ms":60000}`)
+	bid(g, task, 1)
+	s.eventually("task starts", func() bool { return s.queue.startedOn(task.ID()) != "" })
+	began := time.Now()
+	s.switchWorkers(`{"crash": true}`)
+	s.eventually("loss is reported", func() bool { return s.queue.endedCount() == 1 })
+	is.True(time.Since(began) < 2*time.Second)
+	ended, _ := s.queue.endedOf(task.ID())
+	is.Equal(ended.Outcome().Code(), order.WorkerLost)
+}
+
+// Guards against lost answers that repeat tasks or lose outcomes.
+func TestLostAnswersRepeatNothing(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, 2)
+	g, stop := s.run(1)
+	defer stop()
+	s.eventually("workers are read", g.Adopted)
+	s.switchWorkers(`{"drop_answers": true}`)
+	const tasks = 20
+	for i := range tasks {
+		bid(g, testTask(fmt.Sprintf("r%d", i), 1000, `{"run_ms":5}`), 1)
+	}
+	time.Sleep(700 * time.Millisecond)
+	s.switchWorkers(`{"drop_answers": false}`)
+	s.eventually("all tasks end", func() bool { return s.queue.endedCount() == tasks })
+	is.Equal(len(s.workers.Audit().Repeated), 0)
+	for i := range tasks {
+		ended, _ := s.queue.endedOf(order.NewTaskID("tags", order.RequestID(fmt.Sprintf("r%d", i)), 0))
+		is.Equal(ended.Outcome().Code(), order.Done)
+	}
+}
+
+// Guards against two owners at once: the former one, which does not know that
+// its promise is over, is refused by the worker's fence.
+func TestFenceStopsFormerOwner(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, 1)
+	former, stop := s.run(1)
+	defer stop()
+	s.eventually("former owner is ready", former.Adopted)
+	successor, stop := s.run(2)
+	defer stop()
+	s.eventually("successor is ready", successor.Adopted)
+	task := testTask("late", 1000, `{"run_ms":5}`)
+	s.queue.mu.Lock()
+	s.queue.group = former
+	s.queue.mu.Unlock()
+	bid(former, task, 1)
+	s.eventually("start is refused", func() bool { return s.queue.endedCount() == 1 })
+	ended, _ := s.queue.endedOf(task.ID())
+	is.True(ended.NotStarted())
+	is.Equal(s.workers.Audit().Starts, 0)
+}
+
+// Guards against a full inbox that blocks the sender or drops a bid silently.
+func TestFullInboxRefusesBids(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, 1)
+	deps := berth.NewDeps(s.clock, s.registry, zerolog.Nop()).
+		WithGuard(s.guard).WithPoster(s.queue).WithStore(s.store).WithConfig(s.current).
+		WithWorkers(func() []roster.Worker { return s.roster })
+	g := berth.New(testGroup, 1, deps, berth.WithInbox(1))
+	bid(g, testTask("a", 1000, ""), 1)
+	bid(g, testTask("b", 1000, ""), 1)
+	is.Equal(s.queue.refused["tags/b/0"], order.QueueFull)
+	g.Close()
+	is.Equal(g.Run(context.Background()), berth.ErrClosed)
+}
+
+// Guards against a size that is larger than any worker and waits, and against
+// a team without an allotment record that starts tasks.
+func TestRefusalsAndMissingAllotment(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, 1)
+	g, stop := s.run(1)
+	defer stop()
+	s.eventually("workers are read", g.Adopted)
+	bid(g, testTask("large", 9000, ""), 1)
+	s.eventually("large task is refused", func() bool {
+		s.queue.mu.Lock()
+		defer s.queue.mu.Unlock()
+		return s.queue.refused["tags/large/0"] == order.TooLarge
+	})
+	stranger := testTask("x", 1000, "").WithTeam("barges")
+	bid(g, stranger, 1)
+	time.Sleep(300 * time.Millisecond)
+	is.Equal(s.workers.Audit().Starts, 0)
+	is.Equal(g.Digest().Waiting()["barges"], 1)
+}
+
+// Guards against a process that stops while calls are open and leaves them
+// behind.
+func TestCloseWaitsForCalls(t *testing.T) {
+	s := newSite(t, 1)
+	g, stop := s.run(1)
+	s.eventually("workers are read", g.Adopted)
+	s.switchWorkers(`{"pause": true}`)
+	began := time.Now()
+	stop()
+	is.New(t).True(time.Since(began) < time.Second)
+}
