Keep a worker free for a large task that has waited long

Small tasks took all room that appeared, so a task as large as a worker could wait for ever. After 5 s the emptiest fitting worker is kept for the oldest bid. Without this, TestLargeTaskIsNotStarved fails after a minute of simulated time. A process without a configuration starts nothing instead of panicking.

--- a/berth/allotments.go
+++ b/berth/allotments.go
@@ -34,7 +34,7 @@
 	if !ok {
 		return 0
 	}
-	t, ok := m.deps.config().Team(team)
+	t, ok := m.deps.current().Team(team)
 	if !ok {
 		return 0
 	}
@@ -108,7 +108,7 @@
 	}
 	m.excessAt = now.Add(excessPeriod)
 	for team, a := range m.allotments {
-		t, ok := m.deps.config().Team(team)
+		t, ok := m.deps.current().Team(team)
 		if !ok || (!a.lowered && t.Limit() >= a.limit) {
 			continue
 		}
--- a/berth/berth.go
+++ b/berth/berth.go
@@ -70,6 +70,7 @@
 	allotReread    = 2 * time.Second
 	settledPeriod  = time.Minute
 	listPatience   = 3 * time.Second
+	savePatience   = 5 * time.Second
 	startMargin    = 200 * time.Millisecond
 	writeThreshold = crane.UserTimeout + startMargin
 
@@ -78,6 +79,8 @@
 	stampLife = taskLease / 2
 )
 
+var emptyConfig = sheet.NewConfig(0)
+
 // NewDeps returns the required dependencies of a group.
 func NewDeps(clock tide.Clock, registry *gauge.Registry, log zerolog.Logger) Deps {
 	return Deps{
@@ -149,6 +152,15 @@
 	return d
 }
 
+// Returns the configuration. Before the first one is known it has no teams,
+// so that nothing may start.
+func (d Deps) current() *sheet.Config {
+	if config := d.config(); config != nil {
+		return config
+	}
+	return emptyConfig
+}
+
 func (d Deps) isLeaving(id order.WorkerID) bool {
 	if d.leaving != nil {
 		return d.leaving(id)
--- a/berth/machine.go
+++ b/berth/machine.go
@@ -36,6 +36,10 @@
 	excessAt          time.Time
 	bidsAt            time.Time
 
+	// saved is a worker that is kept free for a large task.
+	saved    *host
+	savedFor order.TaskID
+
 	settled  map[crane.Ref]settled
 	learned  map[learnKey]*learnedUse
 	records  map[learnKey]*record
--- a/berth/machine_test.go
+++ b/berth/machine_test.go
@@ -587,3 +587,26 @@
 	f.Equal(len(f.offers()), 1)
 	f.Equal(f.m.entries["tags/a/0"].host.id(), order.WorkerID("w0"))
 }
+
+// Guards against a large task that waits for ever because small tasks take
+// all room that appears.
+func TestLargeTaskIsNotStarved(t *testing.T) {
+	f := newFixture(t, 2).ready()
+	next := 0
+	small := func() {
+		f.run(newTask("tags", fmt.Sprintf("r%04d", next), 1000).WithQueued(f.now))
+		next++
+	}
+	for range 8 {
+		small()
+	}
+	large := newTask("tags", "large", 4000).WithQueued(f.now)
+	f.bid(large)
+	for i := 0; f.m.entries[large.ID()] == nil; i++ {
+		f.True(f.now.Sub(f.m.began) < time.Minute)
+		f.pass(200 * time.Millisecond)
+		f.end(f.starts[i], order.Done, time.Second)
+		small()
+	}
+	f.True(f.now.Sub(large.Queued()) < 2*savePatience)
+}
--- a/berth/placement.go
+++ b/berth/placement.go
@@ -61,10 +61,10 @@
 }
 
 func (m *machine) refusal(now time.Time, task order.Task) (order.Code, string) {
-	team, ok := m.deps.config().Team(task.Team())
+	team, ok := m.deps.current().Team(task.Team())
 	domain := m.group.Domain()
 	switch {
-	case !m.deps.config().DomainOpen(domain), ok && !team.MayUse(domain):
+	case !m.deps.current().DomainOpen(domain), ok && !team.MayUse(domain):
 		return order.NoDomain, "the failure domain is not available"
 	case m.tooLarge(task):
 		return order.TooLarge, "no worker of the group can hold the task"
@@ -121,6 +121,7 @@
 		return
 	}
 	m.bidsAt = now.Add(bidPeriod)
+	m.saveWorker(now)
 	for _, b := range m.bids.inOrder() {
 		if code, text := m.refusal(now, b.task); code != order.Done && code != order.QueueFull {
 			m.bids.remove(b.task.ID())
@@ -151,7 +152,50 @@
 
 func (m *machine) mayAct() bool {
 	return m.deps.guard.Remaining() > writeThreshold && m.deps.permit() &&
-		m.deps.config().DomainOpen(m.group.Domain())
+		m.deps.current().DomainOpen(m.group.Domain())
+}
+
+// Keeps the emptiest worker free for the first bid in order if it has waited
+// long because smaller tasks take all room that appears.
+func (m *machine) saveWorker(now time.Time) {
+	if m.saved != nil {
+		_, waits := m.bids.byTask[m.savedFor]
+		if waits && m.saved.listed && m.usable(now, m.saved, m.savedFor) {
+			return
+		}
+		m.saved = nil
+	}
+	b := m.oldestBid()
+	if b == nil || now.Sub(b.queued) < savePatience || m.choose(now, b.task, m.expected(b.task), nil) != nil {
+		return
+	}
+	if m.live[b.task.Team()]+m.held[b.task.Team()] >= m.allowed(b.task.Team()) {
+		return
+	}
+	size, plain := m.expected(b.task), m.avoidAccelerators(b.task)
+	for _, h := range m.hosts {
+		if !size.fitsIn(h.size) || plain && h.size.accelerators > 0 || !m.usable(now, h, b.task.ID()) {
+			continue
+		}
+		if m.saved == nil || m.leftover(h, size) > m.leftover(m.saved, size) {
+			m.saved, m.savedFor = h, b.task.ID()
+		}
+	}
+	if m.saved != nil {
+		m.deps.registry.Count("berth.worker_saved")
+	}
+}
+
+func (m *machine) oldestBid() *bid {
+	var oldest *bid
+	for _, teams := range m.bids.classes {
+		for _, t := range teams {
+			if oldest == nil || compareBids(t.bids[0], oldest) < 0 {
+				oldest = t.bids[0]
+			}
+		}
+	}
+	return oldest
 }
 
 func (m *machine) anyRoom(now time.Time) bool {
@@ -191,7 +235,7 @@
 
 // Returns the use of a team relative to its share.
 func (m *machine) teamLoad(team order.TeamName) float64 {
-	t, ok := m.deps.config().Team(team)
+	t, ok := m.deps.current().Team(team)
 	if !ok || t.Share() <= 0 {
 		return 1e9
 	}
@@ -207,7 +251,7 @@
 	)
 	plain := m.avoidAccelerators(task)
 	for _, h := range m.hosts {
-		if h == except || !h.fits(size) || plain && h.size.accelerators > 0 || !m.usable(now, h, task.ID()) {
+		if h == except || h == m.saved && task.ID() != m.savedFor || !h.fits(size) || plain && h.size.accelerators > 0 || !m.usable(now, h, task.ID()) {
 			continue
 		}
 		left := m.leftover(h, size)
--- a/berth/starts.go
+++ b/berth/starts.go
@@ -33,7 +33,7 @@
 // last, because that one runs out by itself.
 func mayWrite(d Deps, group order.GroupID, worker order.WorkerID) error {
 	switch {
-	case !d.config().DomainOpen(group.Domain()):
+	case !d.current().DomainOpen(group.Domain()):
 		return ErrDomainClosed
 	case d.isLeaving(worker):
 		return ErrLeaving
@@ -120,7 +120,7 @@
 	r.Invariant(m.deps.guard.Remaining() > 0, "G2", "start of %s with an expired guard", e.task.ID())
 	r.Invariant(e.uncertain || m.live[team] <= m.allowed(team), "G4",
 		"start of %s: %d running of %d allotted", e.task.ID(), m.live[team], m.allowed(team))
-	r.Invariant(m.deps.config().DomainOpen(m.group.Domain()), "G5",
+	r.Invariant(m.deps.current().DomainOpen(m.group.Domain()), "G5",
 		"start of %s in a closed failure domain", e.task.ID())
 	r.Invariant(!h.worker.Leaving(), "G9", "start of %s on leaving worker %s", e.task.ID(), h.id())
 }
