Bound the gate's memory and the time of unread bodies

The bodies of all open submissions now have a common limit, since 16384 open requests of 1 MB would not fit on a small host. The read deadline of a body stays set until the body was read: the server discards the rest of a refused body before it answers, and without a deadline a slow caller held that connection for ever.

--- a/chart/chart.go
+++ b/chart/chart.go
@@ -42,6 +42,7 @@
 
 	gateLimit struct {
 		MaxBodyBytes    int64    `json:"max_body_bytes" help:"largest request body"`
+		MaxOpenBytes    int64    `json:"max_open_bytes" help:"bytes that the bodies of all open submissions may have"`
 		MaxHeaderBytes  int      `json:"max_header_bytes" help:"largest request header"`
 		MaxOpenRequests int      `json:"max_open_requests" help:"requests that may wait for an answer at once"`
 		MaxTasks        int      `json:"max_tasks" help:"tasks that one request may ask for"`
@@ -85,6 +86,7 @@
 		commonWire: defaultCommon(),
 		Limits: gateLimit{
 			MaxBodyBytes:    1 << 20,
+			MaxOpenBytes:    128 << 20,
 			MaxHeaderBytes:  16 << 10,
 			MaxOpenRequests: 16384,
 			MaxTasks:        4096,
@@ -155,6 +157,9 @@
 
 func (c *Checker) gateLimits(l gateLimit) {
 	c.Positive("limits.max_body_bytes", float64(l.MaxBodyBytes))
+	if l.MaxOpenBytes < l.MaxBodyBytes {
+		c.Fault("limits.max_open_bytes", "must be at least max_body_bytes")
+	}
 	c.Positive("limits.max_header_bytes", float64(l.MaxHeaderBytes))
 	c.Positive("limits.max_open_requests", float64(l.MaxOpenRequests))
 	c.Positive("limits.max_tasks", float64(l.MaxTasks))
@@ -216,6 +221,10 @@
 // MaxBodyBytes returns the size of the largest request body.
 func (s Gate) MaxBodyBytes() int64 { return s.w.Limits.MaxBodyBytes }
 
+// MaxOpenBytes returns how many bytes the bodies of all open submissions may
+// have.
+func (s Gate) MaxOpenBytes() int64 { return s.w.Limits.MaxOpenBytes }
+
 // MaxHeaderBytes returns the size of the largest request header.
 func (s Gate) MaxHeaderBytes() int { return s.w.Limits.MaxHeaderBytes }
 
--- a/counter/calls.go
+++ b/counter/calls.go
@@ -21,6 +21,15 @@
 }
 
 func (c *Counter) submit(k *call) reply {
+	size := k.r.ContentLength
+	if size < 0 || size > c.limits.body {
+		size = c.limits.body
+	}
+	if !c.memory.TryAcquire(size) {
+		c.deps.registry.Count("counter.memory_full")
+		return newReply(order.QueueFull).withText("The gate holds too many large requests; wait and send again.")
+	}
+	defer c.memory.Release(size)
 	s, refusal, ok := c.parse(k)
 	if !ok {
 		return refusal
--- a/counter/counter.go
+++ b/counter/counter.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"golang.org/x/sync/semaphore"
 
 	"chervilhollow/gauge"
 	"chervilhollow/order"
@@ -51,6 +52,7 @@
 		table  *table
 		rates  *rates
 		slots  chan struct{}
+		memory *semaphore.Weighted
 		quit   chan struct{}
 
 		mu       sync.Mutex
@@ -61,6 +63,7 @@
 	limits struct {
 		body            int64
 		header          int
+		memory          int64
 		open            int
 		tasks           int
 		headerTimeout   time.Duration
@@ -81,6 +84,7 @@
 const (
 	defaultBody       = 1 << 20
 	defaultHeader     = 16 << 10
+	defaultMemory     = 128 << 20
 	defaultOpen       = 16384
 	defaultTasks      = 4096
 	defaultHeaderTime = 2 * time.Second
@@ -139,6 +143,12 @@
 	return func(c *Counter) { c.limits.body, c.limits.header = body, header }
 }
 
+// WithMemoryLimit sets how many bytes the bodies of all open submissions may
+// have.
+func WithMemoryLimit(bytes int64) Option {
+	return func(c *Counter) { c.limits.memory = bytes }
+}
+
 // WithOpenLimit sets how many calls may be open at once.
 func WithOpenLimit(calls int) Option {
 	return func(c *Counter) { c.limits.open = calls }
@@ -196,7 +206,7 @@
 	c := &Counter{
 		deps: deps,
 		limits: limits{
-			body: defaultBody, header: defaultHeader, open: defaultOpen, tasks: defaultTasks,
+			body: defaultBody, header: defaultHeader, memory: defaultMemory, open: defaultOpen, tasks: defaultTasks,
 			headerTimeout: defaultHeaderTime, readTimeout: defaultReadTime, idleTimeout: defaultIdleTime,
 			defaultDeadline: defaultDeadline, maxDeadline: defaultMax, maxWait: defaultWait,
 			callTimeout: defaultCall, ownerWait: defaultOwnerWait, grace: defaultGrace,
@@ -208,6 +218,7 @@
 	for _, opt := range opts {
 		opt(c)
 	}
+	c.memory = semaphore.NewWeighted(max(c.limits.memory, c.limits.body))
 	c.slots = make(chan struct{}, c.limits.open)
 	c.rates = newRates(c.limits.rate, c.limits.burst)
 	c.mux = c.routes()
--- a/counter/counter_test.go
+++ b/counter/counter_test.go
@@ -1,9 +1,11 @@
 package counter_test
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -757,6 +759,63 @@
 	is.True(b.reg.Counter("counter.dropped.late") > 0)
 }
 
+// Guards against open requests that use up the memory or the calls of a small
+// host.
+func TestOpenLimits(t *testing.T) {
+	for name, opt := range map[string]counter.Option{
+		"calls":  counter.WithOpenLimit(1),
+		"memory": counter.WithMemoryLimit(int64(len(good))),
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c := newCell(nil)
+			b := newBench(t, c, counter.WithBodyLimit(int64(len(good)), 16<<10), opt)
+			got := make(chan answer, 1)
+			go func() { got <- b.submit(good) }()
+			waitFor(t, func() bool { return len(c.submits()) > 0 })
+			a := b.submit(good)
+			is.Equal(a.Code, int(order.QueueFull))
+			is.Equal(a.Run, "no")
+			c.reply(p1, done("toys", "r1", "whole"))
+			is.Equal((<-got).Code, 0)
+			waitFor(t, func() bool { return b.submit(strings.Replace(good, "r1", "r2", 1)).Code != int(order.QueueFull) })
+		})
+	}
+}
+
+// slowBody sends a part of a body and returns the status of the answer.
+func slowBody(t *testing.T, b *bench, key string) int {
+	t.Helper()
+	is := is.New(t)
+	conn, err := net.Dial("tcp", b.server.Listener.Addr().String())
+	is.NoErr(err)
+	defer conn.Close()
+	is.NoErr(conn.SetDeadline(time.Now().Add(10 * time.Second)))
+	_, err = fmt.Fprintf(conn, "POST /v1/requests HTTP/1.1\r\nHost: gate\r\nAuthorization: Bearer %s\r\n"+
+		"Content-Length: %d\r\n\r\n%s", key, len(good), good[:10])
+	is.NoErr(err)
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	is.NoErr(err)
+	return response.StatusCode
+}
+
+// Guards against a caller that holds a connection by sending its body slowly,
+// and against a read timeout that ends a request which only waits.
+func TestReadTimeout(t *testing.T) {
+	is := is.New(t)
+	c := newCell(nil)
+	b := newBench(t, c, counter.WithReadTimeouts(100*time.Millisecond, 100*time.Millisecond, time.Minute))
+	for key, status := range map[string]int{"toys-key": http.StatusBadRequest, "x": http.StatusUnauthorized} {
+		is.Equal(slowBody(t, b, key), status)
+	}
+	got := make(chan answer, 1)
+	go func() { got <- b.submit(good) }()
+	waitFor(t, func() bool { return len(c.submits()) > 0 })
+	time.Sleep(300 * time.Millisecond)
+	c.reply(p1, done("toys", "r1", "whole"))
+	is.Equal((<-got).Code, 0)
+}
+
 func waitFor(t testing.TB, cond func() bool) {
 	t.Helper()
 	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); {
--- a/counter/parse.go
+++ b/counter/parse.go
@@ -76,8 +76,6 @@
 }
 
 func (c *Counter) readDocument(k *call) (requestDocument, reply, bool) {
-	restore := c.limitBody(k)
-	defer restore()
 	var d requestDocument
 	decoder := json.NewDecoder(k.r.Body)
 	decoder.DisallowUnknownFields()
@@ -88,6 +86,7 @@
 	var tooLarge *http.MaxBytesError
 	switch {
 	case err == nil:
+		bodyRead(k.w)
 		return d, reply{}, true
 	case errors.As(err, &tooLarge):
 		return d, newReply(order.BodyTooLarge).withText(fmt.Sprintf(
--- a/counter/server.go
+++ b/counter/server.go
@@ -1,7 +1,6 @@
 package counter
 
 import (
-	"errors"
 	"net/http"
 	"strings"
 	"time"
@@ -51,6 +50,7 @@
 // check of the key and the rate of the team.
 func (c *Counter) handler(submits bool, serve func(*call) reply) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
+		c.limitBody(w, r)
 		k := &call{w: w, r: r, received: c.deps.clock.Now(), submits: submits}
 		if !c.begin() {
 			c.write(k, newReply(order.Stopping))
@@ -108,21 +108,25 @@
 }
 
 func (c *Counter) unknownPath(w http.ResponseWriter, r *http.Request) {
+	c.limitBody(w, r)
 	c.write(&call{w: w, r: r, received: c.deps.clock.Now()}, newReply(order.Malformed).
 		withStatus(http.StatusNotFound).
 		withText("Use POST /v1/requests, GET or DELETE /v1/requests/{id}, or GET /v1/requests/{id}/result."))
 }
 
-// limitBody sets the size and time limit of the body. The read deadline is
-// cleared afterwards, because the server would otherwise take it for a caller
-// that hung up while its request waits.
-func (c *Counter) limitBody(k *call) (restore func()) {
-	control := http.NewResponseController(k.w)
-	err := control.SetReadDeadline(time.Now().Add(c.limits.readTimeout))
-	k.r.Body = http.MaxBytesReader(k.w, k.r.Body, c.limits.body)
-	return func() {
-		if !errors.Is(err, http.ErrNotSupported) {
-			_ = control.SetReadDeadline(time.Time{})
-		}
+// limitBody sets the size and time limit of the body. The time limit also
+// holds while the server discards the body of a call that was refused before
+// it was read.
+func (c *Counter) limitBody(w http.ResponseWriter, r *http.Request) {
+	if r.ContentLength == 0 {
+		return
 	}
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(c.limits.readTimeout))
+	r.Body = http.MaxBytesReader(w, r.Body, c.limits.body)
+}
+
+// bodyRead ends the time limit, because the server would otherwise take its
+// end for a caller that hung up while its request waits.
+func bodyRead(w http.ResponseWriter) {
+	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 }
--- a/ferry/ferry_test.go
+++ b/ferry/ferry_test.go
@@ -210,6 +210,7 @@
 	is.NoErr(a.node.Send(b.id, status(2)))
 	is.Equal(sequence(b.next(t).msg), uint64(2))
 	is.Equal(a.reg.Counter("ferry.dropped.oversized"), int64(1))
+	eventually(t, "count of sent messages", func() bool { return a.reg.Counter("ferry.sent") == 1 })
 }
 
 // handshake opens a raw link that shows the right secret.
--- a/ferry/link.go
+++ b/ferry/link.go
@@ -232,15 +232,19 @@
 // writeBatch writes the message and those that wait behind it in one flush.
 func (l *link) writeBatch(q queued) error {
 	l.conn.cork()
-	count, err := 0, error(nil)
+	count, sent, err := 0, 0, error(nil)
 	oldest := l.node.clock.Now().Add(-l.node.limits.age)
 batch:
 	for {
-		if err = l.writeMsg(q, oldest); err != nil {
+		var written bool
+		if written, err = l.writeMsg(q, oldest); err != nil {
+			sent++
 			break
 		}
-		count++
-		if count == l.node.limits.batch {
+		if written {
+			sent++
+		}
+		if count++; count == l.node.limits.batch {
 			break
 		}
 		select {
@@ -253,29 +257,33 @@
 		err = flushErr
 	}
 	if err != nil {
-		l.node.reg.Add("ferry.dropped.link_lost", int64(count))
+		l.node.reg.Add("ferry.dropped.link_lost", int64(sent))
 		return err
 	}
-	l.node.reg.Add("ferry.sent", int64(count))
+	l.node.reg.Add("ferry.sent", int64(sent))
 	return nil
 }
 
-func (l *link) writeMsg(q queued, oldest time.Time) error {
+// writeMsg reports whether the message was written and not dropped.
+func (l *link) writeMsg(q queued, oldest time.Time) (bool, error) {
 	if q.at.Before(oldest) {
 		l.node.reg.Count("ferry.dropped.expired")
-		return nil
+		return false, nil
 	}
 	data, err := order.Encode(q.msg)
 	if err != nil {
 		l.node.reg.Count("ferry.dropped.encode")
 		l.node.log.Error().Err(err).Msg("ferry: message cannot be encoded")
-		return nil
+		return false, nil
 	}
 	if len(data) > l.node.limits.frame {
 		l.node.reg.Count("ferry.dropped.oversized")
 		l.node.log.Error().Int("bytes", len(data)).Str("peer", string(l.peer.id)).
 			Msgf("ferry: %T exceeds the frame limit", q.msg)
-		return nil
+		return false, nil
+	}
+	if err := l.ws.Write(context.Background(), websocket.MessageBinary, data); err != nil {
+		return false, err
 	}
-	return l.ws.Write(context.Background(), websocket.MessageBinary, data)
+	return true, nil
 }
--- a/ferry/peer.go
+++ b/ferry/peer.go
@@ -82,6 +82,7 @@
 		select {
 		case <-n.clock.After(delays.NextBackOff()):
 		case <-n.ctx.Done():
+			n.dropQueued(p, "closed", time.Time{})
 		}
 		n.dropQueued(p, "expired", n.clock.Now().Add(-n.limits.age))
 		if n.endDial(p) {
@@ -155,6 +156,7 @@
 		HTTPClient: &http.Client{Transport: transport},
 	})
 	if err != nil {
+		transport.CloseIdleConnections()
 		return err
 	}
 	if err := n.greet(ctx, ws, p.id); err != nil {
--- a/window/gate.go
+++ b/window/gate.go
@@ -139,6 +139,7 @@
 func counterOptions(s chart.Gate) []counter.Option {
 	return []counter.Option{
 		counter.WithBodyLimit(s.MaxBodyBytes(), s.MaxHeaderBytes()),
+		counter.WithMemoryLimit(s.MaxOpenBytes()),
 		counter.WithOpenLimit(s.MaxOpenRequests()),
 		counter.WithTaskLimit(s.MaxTasks()),
 		counter.WithReadTimeouts(s.HeaderTimeout(), s.ReadTimeout(), s.IdleTimeout()),
