Check room again at the confirmation and adopt stray tasks

On a worker without fence support a start of a former owner may be executed after the successor read the task list.

--- a/berth/host.go
+++ b/berth/host.go
@@ -80,6 +80,12 @@
 	return h.freeSlots() > 0 && size.fitsIn(h.free())
 }
 
+// Reports whether more is reserved than the worker has room for, as after the
+// adoption of a stray task or when the host list shows a smaller size.
+func (h *host) crowded() bool {
+	return h.freeSlots() < 0 || !h.reserved.fitsIn(h.size)
+}
+
 func (h *host) add(e *entry) {
 	e.host = h
 	h.tasks[e.task.ID()] = e
--- a/berth/machine.go
+++ b/berth/machine.go
@@ -251,7 +251,7 @@
 		h.polling = true
 		m.emit(pollCommand{worker: h.id(), after: h.after})
 	}
-	if !h.usaging && !now.Before(h.usageAt) && len(h.tasks) > 0 {
+	if !h.usaging && !now.Before(h.usageAt) {
 		h.usaging = true
 		h.usageAt = now.Add(usagePeriod)
 		m.emit(usageCommand{worker: h.id()})
@@ -355,6 +355,7 @@
 	for _, use := range r.uses {
 		e, ok := h.tasks[use.Ref().Task()]
 		if !ok || e.attempt != use.Ref().Attempt() {
+			m.noteStray(now, h, use.Ref())
 			continue
 		}
 		e.seen = newAmount(use.Used())
@@ -364,6 +365,16 @@
 	h.usageAt = now.Add(usagePeriod)
 }
 
+// A task that the group does not know was started by a former owner after the
+// list was read, which only a worker without fence support allows. The list
+// is read again to adopt it.
+func (m *machine) noteStray(now time.Time, h *host, ref crane.Ref) {
+	if _, over := m.settled[ref]; !over {
+		m.deps.registry.Count("berth.stray_task")
+		m.relist(now, h)
+	}
+}
+
 // Notes the clock reading of an answer. A reading of another run of the
 // worker means that its tasks are gone; its list is then read again.
 func (m *machine) sameRun(now time.Time, h *host, stamp crane.Stamp) bool {
--- a/berth/machine_test.go
+++ b/berth/machine_test.go
@@ -610,3 +610,32 @@
 	}
 	f.True(f.now.Sub(large.Queued()) < 2*savePatience)
 }
+
+// Guards against a start on a worker that became too small after the offer,
+// because the host list shows a smaller size or a stray task was adopted.
+func TestShrunkWorkerStartsNothingAboveItsRoom(t *testing.T) {
+	f := newFixture(t, 1).ready()
+	task := newTask("tags", "a", 3000)
+	f.bid(task)
+	f.workers[0] = f.workers[0].WithSize(order.Resources{}.WithCores(2000).WithMemory(4<<30), 4, 8)
+	f.pass(hostPeriod / 2)
+	f.m.refreshHosts(f.now)
+	f.confirm(task)
+	f.Equal(len(f.starts), 0)
+	ended, ok := f.ended(task)
+	f.True(ok && ended.NotStarted())
+}
+
+// Guards against a task that a former owner started after the list was read,
+// on a worker without fence support, and that nobody renews or counts.
+func TestStrayTaskIsAdopted(t *testing.T) {
+	f := newFixture(t, 1).ready()
+	stray := newTask("tags", "stray", 1000)
+	f.step(usageResult{worker: "w0", uses: []crane.Use{crane.NewUse(crane.NewRef(stray.ID(), 1), stray.Size())}})
+	f.True(f.m.hosts[0].listAt.After(f.now))
+	f.step(listResult{worker: "w0", listing: crane.NewListing(f.stamp(), []crane.Running{
+		crane.NewRunning(stray, 1, stray.Size(), f.now),
+	}, nil)})
+	f.Equal(f.m.live["tags"], 1)
+	f.Equal(f.m.hosts[0].reserved.cores, int64(1000))
+}
--- a/berth/placement.go
+++ b/berth/placement.go
@@ -318,7 +318,7 @@
 func (m *machine) reserve(e *entry, h *host) {
 	m.enter(e, h)
 	h.cooldown.reserved(e.task.ID())
-	m.deps.registry.Invariant(h.freeSlots() >= 0 && h.reserved.fitsIn(h.size), "G1",
+	m.deps.registry.Invariant(!h.crowded(), "G1",
 		"worker %s of size %v and %d slots has %v and %d tasks reserved",
 		h.id(), h.size, h.slots(), h.reserved, len(h.tasks))
 }
--- a/berth/starts.go
+++ b/berth/starts.go
@@ -74,7 +74,7 @@
 		m.fail(now, e, order.NoOwner, "the group may not start work now")
 		return
 	}
-	if !m.usable(now, e.host, e.task.ID()) && !m.move(now, e) {
+	if (e.host.crowded() || !m.usable(now, e.host, e.task.ID())) && !m.move(now, e) {
 		m.fail(now, e, order.QueueFull, "the worker is not usable")
 		return
 	}
@@ -113,9 +113,11 @@
 	m.deps.registry.Observe("berth.wait", now.Sub(e.queued))
 }
 
+// Asserts the guarantees that a start could break. A repeated start of the
+// same attempt adds nothing to what was checked before.
 func (m *machine) checkStart(e *entry) {
 	r, team, h := m.deps.registry, e.task.Team(), e.host
-	r.Invariant(h.reserved.fitsIn(h.size) && h.freeSlots() >= 0, "G1",
+	r.Invariant(e.uncertain || !h.crowded(), "G1",
 		"start of %s on %s above its room", e.task.ID(), h.id())
 	r.Invariant(m.deps.guard.Remaining() > 0, "G2", "start of %s with an expired guard", e.task.ID())
 	r.Invariant(e.uncertain || m.live[team] <= m.allowed(team), "G4",
--- /dev/null
+++ b/sample/worker_settings_test.go
@@ -0,0 +1,71 @@
+package sample_test
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"chervilhollow/order"
+	"chervilhollow/sample"
+)
+
+func writeSettings(t *testing.T, text string) string {
+	path := filepath.Join(t.TempDir(), "workers.json")
+	is.New(t).NoErr(os.WriteFile(path, []byte(text), 0o600))
+	return path
+}
+
+// Guards against a settings file with comments or a pattern that is not read
+// as its author meant.
+func TestWorkerSettings(t *testing.T) {
+	is := is.New(t)
+	settings, err := sample.LoadWorkerSettings(writeSettings(t, `{
+		// One listed worker and a pattern.
+		"workers": [{"id": "a", "domain": "east", "rack": "r9", "slots": 1, "connections": 2}],
+		"pattern": {"domains": ["east", "west"], "racks": 2, "per_rack": 3,
+			"size": {"slots": 8, "connections": 64, "milli_cores": 64000, "memory_mb": 1024}},
+	}`))
+	is.NoErr(err)
+	workers := settings.Roster("http://127.0.0.1:7600")
+	is.Equal(len(workers), 13)
+	is.Equal(workers[12].ID(), order.WorkerID("west-r2-3"))
+	is.Equal(workers[12].Group(), order.GroupID("west/r2"))
+	is.Equal(workers[12].URL(), "http://127.0.0.1:7600/w/west-r2-3")
+	is.Equal(workers[12].Size().Memory(), order.Bytes(1<<30))
+}
+
+// Guards against faults in a settings file that are accepted silently.
+func TestWorkerSettingsFaults(t *testing.T) {
+	for name, text := range map[string]string{
+		"unknown field": `{"worker": []}`,
+		"no rack":       `{"workers": [{"id": "a", "domain": "east", "slots": 1, "connections": 1}]}`,
+		"no slots":      `{"workers": [{"id": "a", "domain": "east", "rack": "r1", "connections": 1}]}`,
+		"listed twice": `{"workers": [
+			{"id": "a", "domain": "east", "rack": "r1", "slots": 1, "connections": 1},
+			{"id": "a", "domain": "east", "rack": "r1", "slots": 1, "connections": 1}]}`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, err := sample.LoadWorkerSettings(writeSettings(t, text))
+			is.New(t).True(err != nil)
+		})
+	}
+}
+
+// Guards against a host list and a worker stand-in that read the same file
+// differently.
+func TestWorkersOfHostFile(t *testing.T) {
+	is := is.New(t)
+	file, err := sample.ParseHostFile([]byte(`{
+		"workers": [], "entry_hosts": [],
+		"generate": {"count": 4, "domains": ["east", "west"], "workers_per_rack": 2, "id": "g{n}",
+			"url": "http://127.0.0.1:7600/w/g{n}", "cores": 1.5, "memory": 1073741824, "slots": 2, "connections": 4},
+	}`))
+	is.NoErr(err)
+	settings := sample.WorkersOf(file)
+	is.NoErr(settings.Check())
+	is.Equal(len(settings.Workers), 4)
+	is.Equal(settings.Workers[3].MilliCores, order.MilliCores(1500))
+	is.Equal(settings.Workers[3].MemoryMB, int64(1024))
+}
--- a/sample/workers.go
+++ b/sample/workers.go
@@ -39,6 +39,7 @@
 		running     map[order.TaskID]*run
 		ended       map[order.TaskID]*workerOutcome
 		forgotten   map[workerRef]time.Time
+		purged      time.Time
 		changed     chan struct{}
 		resumed     chan struct{}
 		mode        workerMode
@@ -260,6 +261,14 @@
 		r.signal(statusLapsed)
 		w.notify()
 	}
+	w.purgeForgotten(now)
+}
+
+func (w *worker) purgeForgotten(now time.Time) {
+	if now.Sub(w.purged) < time.Second {
+		return
+	}
+	w.purged = now
 	for ref, until := range w.forgotten {
 		if !until.After(now) {
 			delete(w.forgotten, ref)
