--- a/order/ids.go
+++ b/order/ids.go
@@ -41,7 +41,8 @@
 	// owner.
 	Epoch uint64
 
-	// Attempt counts the attempts to run a task, from one.
+	// Attempt identifies one attempt to run a task. Later attempts have higher
+	// numbers, also across owners of the request partition.
 	Attempt uint32
 
 	// Revision numbers the accepted configurations.
@@ -134,3 +135,9 @@
 	}
 	return RequestPartition(TeamName(team), RequestID(rest[:end]))
 }
+
+// Team returns the team of the task.
+func (t TaskID) Team() TeamName {
+	team, _, _ := strings.Cut(string(t), "/")
+	return TeamName(team)
+}
--- a/order/schema_gen.go
+++ b/order/schema_gen.go
@@ -898,6 +898,7 @@
 		Partition PartitionID `cbor:"1,keyasint,omitempty"`
 		Epoch     Epoch       `cbor:"2,keyasint,omitempty"`
 		State     []byte      `cbor:"3,keyasint,omitempty"`
+		Handover  string      `cbor:"4,keyasint,omitempty"`
 	}
 )
 
@@ -928,6 +929,15 @@
 	return x
 }
 
+// Handover returns the identifier that the record of this handover carries.
+func (x HandoverMsg) Handover() string { return x.w.Handover }
+
+// WithHandover returns a copy with Handover set.
+func (x HandoverMsg) WithHandover(v string) HandoverMsg {
+	x.w.Handover = v
+	return x
+}
+
 // MarshalCBOR implements cbor.Marshaler.
 func (x HandoverMsg) MarshalCBOR() ([]byte, error) { return marshal(x.w) }
 
@@ -1045,6 +1055,7 @@
 	submitMsgWire struct {
 		Partition PartitionID `cbor:"1,keyasint,omitempty"`
 		Request   Request     `cbor:"2,keyasint,omitempty"`
+		Sequence  uint64      `cbor:"3,keyasint,omitempty"`
 	}
 )
 
@@ -1066,6 +1077,15 @@
 	return x
 }
 
+// Sequence returns a number that the answers repeat.
+func (x SubmitMsg) Sequence() uint64 { return x.w.Sequence }
+
+// WithSequence returns a copy with Sequence set.
+func (x SubmitMsg) WithSequence(v uint64) SubmitMsg {
+	x.w.Sequence = v
+	return x
+}
+
 // MarshalCBOR implements cbor.Marshaler.
 func (x SubmitMsg) MarshalCBOR() ([]byte, error) { return marshal(x.w) }
 
@@ -1148,6 +1168,7 @@
 		Partition PartitionID `cbor:"1,keyasint,omitempty"`
 		Team      TeamName    `cbor:"2,keyasint,omitempty"`
 		Request   RequestID   `cbor:"3,keyasint,omitempty"`
+		Sequence  uint64      `cbor:"4,keyasint,omitempty"`
 	}
 )
 
@@ -1178,6 +1199,15 @@
 	return x
 }
 
+// Sequence returns a number that the answers repeat.
+func (x CancelMsg) Sequence() uint64 { return x.w.Sequence }
+
+// WithSequence returns a copy with Sequence set.
+func (x CancelMsg) WithSequence(v uint64) CancelMsg {
+	x.w.Sequence = v
+	return x
+}
+
 // MarshalCBOR implements cbor.Marshaler.
 func (x CancelMsg) MarshalCBOR() ([]byte, error) { return marshal(x.w) }
 
@@ -1194,6 +1224,7 @@
 		Team      TeamName  `cbor:"1,keyasint,omitempty"`
 		Request   RequestID `cbor:"2,keyasint,omitempty"`
 		Duplicate bool      `cbor:"3,keyasint,omitempty"`
+		Sequence  uint64    `cbor:"4,keyasint,omitempty"`
 	}
 )
 
@@ -1224,6 +1255,15 @@
 	return x
 }
 
+// Sequence returns the sequence of the submission.
+func (x AcceptedMsg) Sequence() uint64 { return x.w.Sequence }
+
+// WithSequence returns a copy with Sequence set.
+func (x AcceptedMsg) WithSequence(v uint64) AcceptedMsg {
+	x.w.Sequence = v
+	return x
+}
+
 // MarshalCBOR implements cbor.Marshaler.
 func (x AcceptedMsg) MarshalCBOR() ([]byte, error) { return marshal(x.w) }
 
@@ -1351,7 +1391,7 @@
 	return x
 }
 
-// Sequence returns the sequence of the status message it answers.
+// Sequence returns the sequence of the message it answers.
 func (x AnswerMsg) Sequence() uint64 { return x.w.Sequence }
 
 // WithSequence returns a copy with Sequence set.
@@ -1779,6 +1819,7 @@
 		Group      GroupID     `cbor:"2,keyasint,omitempty"`
 		Outcome    Outcome     `cbor:"3,keyasint,omitempty"`
 		NotStarted bool        `cbor:"4,keyasint,omitempty"`
+		Epoch      Epoch       `cbor:"5,keyasint,omitempty"`
 	}
 )
 
@@ -1818,6 +1859,15 @@
 	return x
 }
 
+// Epoch returns the epoch of the group that reports it.
+func (x EndedMsg) Epoch() Epoch { return x.w.Epoch }
+
+// WithEpoch returns a copy with Epoch set.
+func (x EndedMsg) WithEpoch(v Epoch) EndedMsg {
+	x.w.Epoch = v
+	return x
+}
+
 // MarshalCBOR implements cbor.Marshaler.
 func (x EndedMsg) MarshalCBOR() ([]byte, error) { return marshal(x.w) }
 
