--- a/till/attempt.go
+++ b/till/attempt.go
@@ -1,6 +1,7 @@
 package till
 
 import (
+	"sort"
 	"time"
 
 	"chervilhollow/logbook"
@@ -231,13 +232,27 @@
 
 // probe asks the groups whose owner changed about the attempts there.
 func (m *Machine) probe() {
+	for _, t := range m.openTasks(func(t *task) bool {
+		epoch := m.view.epoch(t.group)
+		return epoch != 0 && epoch != t.epoch
+	}) {
+		m.sendConfirm(t)
+	}
+}
+
+// openTasks returns the tasks with an open attempt for which the function
+// returns true, in order of ID.
+func (m *Machine) openTasks(wanted func(*task) bool) []*task {
+	var tasks []*task
 	for _, j := range m.jobs {
 		for _, t := range j.tasks {
-			if epoch := m.view.epoch(t.group); t.open() && epoch != 0 && epoch != t.epoch {
-				m.sendConfirm(t)
+			if t.open() && wanted(t) {
+				tasks = append(tasks, t)
 			}
 		}
 	}
+	sort.Slice(tasks, func(a, b int) bool { return tasks[a].id < tasks[b].id })
+	return tasks
 }
 
 // believable returns whether the attempt certainly never started, and its code.
@@ -376,13 +391,9 @@
 // loseGroup ends the attempts in a group that had no owner for the length of a
 // task lease.
 func (m *Machine) loseGroup(group order.GroupID) {
-	for _, j := range m.jobs {
-		for _, t := range j.tasks {
-			if t.open() && t.group == group {
-				m.loseAttempt(t)
-				m.settle(j)
-			}
-		}
+	for _, t := range m.openTasks(func(t *task) bool { return t.group == group }) {
+		m.loseAttempt(t)
+		m.settle(t.job)
 	}
 }
 
--- a/till/bid.go
+++ b/till/bid.go
@@ -37,6 +37,7 @@
 	maxProbes = 256
 
 	renewPeriod = time.Second
+	maxRenewals = 10
 	resendSoon  = 100 * time.Millisecond
 	resendStop  = time.Second
 
@@ -55,6 +56,7 @@
 	t.state = taskBidding
 	t.attempt = m.nextAttempt()
 	t.bids = t.bids[:0]
+	t.renewals = 0
 	m.addBids(t, bidsPerTask)
 	t.checkAt = m.now.Add(renewPeriod)
 }
@@ -80,6 +82,10 @@
 // group with room.
 func (m *Machine) renewBids(t *task) {
 	t.checkAt = m.now.Add(renewPeriod)
+	if t.renewals++; t.renewals >= maxRenewals {
+		m.rebid(t)
+		return
+	}
 	for i := range t.bids {
 		if g, ok := m.view.groups[t.bids[i].group]; ok {
 			t.bids[i].epoch = g.digest.Epoch()
@@ -93,6 +99,15 @@
 	m.addBids(t, max(bidsPerTask-len(t.bids), 1))
 }
 
+// rebid starts over with a new attempt. A group whose offer was lost may not
+// take a bid of the old one again.
+func (m *Machine) rebid(t *task) {
+	m.withdrawAll(t, "")
+	t.attempt = m.nextAttempt()
+	t.renewals = 0
+	m.addBids(t, bidsPerTask)
+}
+
 // repeatBids sends the bids again that went to an earlier owner of a group.
 func (m *Machine) repeatBids(moved map[order.GroupID]bool) {
 	for _, j := range m.jobs {
--- a/till/conclude.go
+++ b/till/conclude.go
@@ -103,6 +103,10 @@
 // "not run" of a request that a successor would find in the journal and run.
 func (m *Machine) finish(j *job, o order.Outcome) {
 	code := o.Code()
+	if j.doubtful && code >= order.QueueFull && code.Run() == order.RunNo {
+		code = order.OutcomeUnknown
+		o = o.WithCode(code).WithText("")
+	}
 	m.registry.Invariant(code.Run() != order.RunNo || !j.mayHaveRun(), "till.refusal_true", "%s/%s is answered %s but may have run", j.key.Team, j.key.Request, code)
 	m.dropHolds(j)
 	for _, t := range j.tasks {
--- a/till/job.go
+++ b/till/job.go
@@ -42,7 +42,9 @@
 
 		// adopted tells that the request is known only from a group's copy of
 		// its tasks.
-		adopted   bool
+		adopted bool
+		// doubtful tells that a former owner may have run the request.
+		doubtful  bool
 		cancelled bool
 		expired   bool
 		finished  time.Time
@@ -62,15 +64,16 @@
 
 	// task is one unit of placement of a job.
 	task struct {
-		job     *job
-		id      order.TaskID
-		index   int
-		state   taskState
-		bids    []bid
-		attempt order.Attempt
-		group   order.GroupID
-		epoch   order.Epoch
-		worker  order.WorkerID
+		job      *job
+		id       order.TaskID
+		index    int
+		state    taskState
+		bids     []bid
+		renewals int
+		attempt  order.Attempt
+		group    order.GroupID
+		epoch    order.Epoch
+		worker   order.WorkerID
 		// until ends the hold of an offer.
 		until    time.Time
 		resendAt time.Time
@@ -135,8 +138,10 @@
 
 // repeatable reports whether the job may run again after it may have started.
 // A service is replaced when its worker is lost, whatever else it declares.
-func (j *job) repeatable() bool {
-	return j.request.Idempotent() || j.request.Kind() == order.Service
+func (j *job) repeatable() bool { return repeatable(j.request) }
+
+func repeatable(r order.Request) bool {
+	return r.Idempotent() || r.Kind() == order.Service
 }
 
 func (j *job) isGang() bool { return j.request.Kind() == order.Gang }
--- a/till/machine.go
+++ b/till/machine.go
@@ -69,7 +69,7 @@
 		last    order.Attempt
 
 		recovery recovery
-		deferred []deferredStatus
+		deferred []deferredCall
 		holding  map[logbook.Key]*job
 	}
 
@@ -82,9 +82,10 @@
 		kind logbook.Kind
 	}
 
-	deferredStatus struct {
+	// deferredCall is a call about a request that is not known yet.
+	deferredCall struct {
 		from order.MemberID
-		msg  order.StatusMsg
+		msg  order.Msg
 	}
 )
 
--- a/till/recover.go
+++ b/till/recover.go
@@ -56,6 +56,7 @@
 		return
 	}
 	j.phase = phaseRecovering
+	j.doubtful = j.repeatable()
 	m.open++
 	m.perTeam[j.key.Team]++
 	m.settle(j)
--- a/till/status.go
+++ b/till/status.go
@@ -28,9 +28,7 @@
 // inventory is complete it may still be found in a group.
 func (m *Machine) statusUnknown(w waiter, msg order.StatusMsg) {
 	if !m.recovery.complete {
-		if len(m.deferred) < maxDeferred {
-			m.deferred = append(m.deferred, deferredStatus{from: w.gate, msg: msg})
-		}
+		m.postpone(w.gate, msg)
 		return
 	}
 	m.unknown(w, msg.Team(), msg.Request())
@@ -47,11 +45,26 @@
 		WithSequence(w.sequence))
 }
 
+// postpone keeps a call about an unknown request until the inventory is
+// complete.
+func (m *Machine) postpone(from order.MemberID, msg order.Msg) {
+	if len(m.deferred) >= maxDeferred {
+		m.registry.Count("till.dropped.recovering")
+		return
+	}
+	m.deferred = append(m.deferred, deferredCall{from: from, msg: msg})
+}
+
 func (m *Machine) answerDeferred() {
 	deferred := m.deferred
 	m.deferred = nil
 	for _, d := range deferred {
-		m.status(d.from, d.msg)
+		switch msg := d.msg.(type) {
+		case order.StatusMsg:
+			m.status(d.from, msg)
+		case order.CancelMsg:
+			m.cancel(d.from, msg)
+		}
 	}
 }
 
@@ -73,8 +86,7 @@
 	j := m.jobs[logbook.Key{Team: msg.Team(), Request: msg.Request()}]
 	switch {
 	case j == nil && !m.recovery.complete:
-		// The gate sends the cancellation again after the recovery.
-		m.registry.Count("till.dropped.cancel_recovering")
+		m.postpone(from, msg)
 		return
 	case j == nil:
 		m.unknown(w, msg.Team(), msg.Request())
--- a/till/submit.go
+++ b/till/submit.go
@@ -31,7 +31,7 @@
 		m.refuse(w, r, order.IDReused)
 		return
 	}
-	if j.phase == phaseDone && j.outcome.Code().Run() == order.RunNo {
+	if j.phase == phaseDone && j.repeats() {
 		// The answer allowed the caller to send the request again.
 		m.forget(j)
 		m.submitNew(key, r, w, j.round+1)
@@ -45,6 +45,30 @@
 	m.settle(j)
 }
 
+// repeats reports whether the answer allowed the caller to send the request
+// again, and the new submission is to be queued.
+func (j *job) repeats() bool {
+	code := j.outcome.Code()
+	return code.Run() == order.RunNo || j.doubtful && code == order.OutcomeUnknown
+}
+
+// doubtful reports whether a former owner may have run the request without a
+// trace: starts of idempotent work are not journaled, and its outcome may have
+// been acknowledged to the group. A former owner's outcomes matter as long as
+// it would have kept them.
+func (m *Machine) doubtful(r order.Request) bool {
+	return !r.Fresh() && repeatable(r) && m.now.Sub(m.recovery.began) < attachedRetention
+}
+
+// truthful returns the code of a refusal, which must not say "not run" of a
+// request that may have run.
+func (m *Machine) truthful(r order.Request, code order.Code) order.Code {
+	if m.doubtful(r) && code >= order.QueueFull && code.Run() == order.RunNo {
+		return order.OutcomeUnknown
+	}
+	return code
+}
+
 // attach joins a duplicate to the job.
 func (m *Machine) attach(j *job, r order.Request, w waiter) {
 	switch {
@@ -68,10 +92,11 @@
 			return
 		}
 	} else if code := m.refusal(r); code != order.Done {
-		m.refuse(w, r, code)
+		m.refuse(w, r, m.truthful(r, code))
 		return
 	}
 	j := m.newJob(key, r, checksum(r.Payload()))
+	j.doubtful = m.doubtful(r)
 	j.round = round
 	j.verified = true
 	m.open++
@@ -216,6 +241,11 @@
 // openJob queues all tasks of the job that are not placed yet.
 func (m *Machine) openJob(j *job) {
 	j.phase = phaseOpen
+	if j.cancelled || j.expired {
+		m.stopTasks(j)
+		m.concludeJob(j)
+		return
+	}
 	if j.isGang() {
 		m.openGang(j)
 		return
--- a/till/view.go
+++ b/till/view.go
@@ -161,6 +161,7 @@
 			lost = append(lost, id)
 		}
 	}
+	sort.Slice(lost, func(i, j int) bool { return lost[i] < lost[j] })
 	return lost
 }
 
--- /dev/null
+++ b/tonnage/tonnage_test.go
@@ -0,0 +1,480 @@
+package tonnage_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"sort"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+	"pgregory.net/rapid"
+
+	"chervilhollow/depot"
+	"chervilhollow/gauge"
+	"chervilhollow/order"
+	"chervilhollow/sheet"
+	"chervilhollow/tide"
+	"chervilhollow/tonnage"
+)
+
+const team = order.TeamName("toys")
+
+type (
+	// cell runs one divider against fake groups that use what they are allotted.
+	cell struct {
+		fail    func(string, ...any)
+		rand    *rand.Rand
+		clock   *tide.Manual
+		store   *depot.Memory
+		machine *tonnage.Machine
+		config  *sheet.Config
+		groups  map[order.GroupID]*fakeGroup
+		network []packet
+		pending []tonnage.Command
+		loss    float64
+		delay   time.Duration
+		observe time.Time
+		largest int
+		late    []tonnage.Command
+		// deaf is a group that gets no messages.
+		deaf   order.GroupID
+		outage bool
+		sorted []order.GroupID
+	}
+
+	fakeGroup struct {
+		id      order.GroupID
+		epoch   order.Epoch
+		owned   bool
+		listed  bool
+		count   int
+		version uint64
+		limit   int
+		running int
+		waiting int
+	}
+
+	packet struct {
+		due   time.Time
+		group order.GroupID
+		epoch order.Epoch
+		allot order.AllotMsg
+		ack   *order.AllotAckMsg
+	}
+
+	storedRecord struct {
+		Limit   int                   `json:"limit"`
+		Version uint64                `json:"version"`
+		Groups  map[order.GroupID]int `json:"groups"`
+	}
+)
+
+func newCell(t interface{ Fatalf(string, ...any) }, seed uint64, groups, limit int) *cell {
+	c := &cell{
+		fail:   t.Fatalf,
+		rand:   rand.New(rand.NewPCG(seed, 2)),
+		clock:  tide.NewManual(time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)),
+		config: sheet.NewConfig(1).WithTeam(sheet.NewTeam(team, 1, limit)),
+		groups: make(map[order.GroupID]*fakeGroup),
+		delay:  5 * time.Millisecond,
+	}
+	c.store = depot.NewMemory(c.clock)
+	for i := range groups {
+		id := order.NewGroupID(order.DomainName(fmt.Sprintf("d%d", i%3)), fmt.Sprintf("r%02d", i))
+		c.groups[id] = &fakeGroup{id: id, epoch: 1, owned: true, listed: true}
+	}
+	c.newOwner()
+	return c
+}
+
+func (c *cell) newOwner() {
+	registry := gauge.New(zerolog.Nop())
+	registry.SetStrict(true)
+	c.machine = tonnage.NewMachine(order.QuotaPartition(team), registry)
+	c.pending = nil
+	c.observe = c.clock.Now()
+}
+
+func (c *cell) names() []order.GroupID {
+	if len(c.sorted) != len(c.groups) {
+		c.sorted = c.sorted[:0]
+		for id := range c.groups {
+			c.sorted = append(c.sorted, id)
+		}
+		sort.Slice(c.sorted, func(i, j int) bool { return c.sorted[i] < c.sorted[j] })
+	}
+	return c.sorted
+}
+
+func (c *cell) stored() (storedRecord, depot.Entry) {
+	var r storedRecord
+	c.store.SetOutage(false)
+	entry, err := c.store.Get(context.Background(), tonnage.Key(team))
+	c.store.SetOutage(c.outage)
+	if err != nil {
+		c.fail("read: %v", err)
+	}
+	if entry.Exists() {
+		if err := json.Unmarshal(entry.Value(), &r); err != nil {
+			c.fail("record: %v", err)
+		}
+	}
+	return r, entry
+}
+
+func (c *cell) run(d time.Duration) {
+	for end := c.clock.Now().Add(d); c.clock.Now().Before(end); {
+		c.tick()
+	}
+}
+
+func (c *cell) tick() {
+	c.clock.Advance(20 * time.Millisecond)
+	now := c.clock.Now()
+	var due []packet
+	rest := c.network[:0]
+	for _, p := range c.network {
+		if p.due.After(now) {
+			rest = append(rest, p)
+			continue
+		}
+		due = append(due, p)
+	}
+	c.network = append([]packet(nil), rest...)
+	for _, p := range due {
+		c.deliver(p)
+	}
+	c.callStore()
+	if !now.Before(c.observe) {
+		c.observe = now.Add(500 * time.Millisecond)
+		c.execute(c.machine.Observe(now, c.observation()))
+	}
+	if now.UnixMilli()%100 == 0 {
+		c.execute(c.machine.Tick(now))
+	}
+	for _, id := range c.names() {
+		c.groups[id].start(c.config)
+	}
+}
+
+// start lets the group run what waits within its allotment. A configured limit
+// below the one that was divided scales it down.
+func (g *fakeGroup) start(config *sheet.Config) {
+	if !g.owned {
+		return
+	}
+	allowed := g.count
+	if t, _ := config.Team(team); t.Limit() < g.limit {
+		allowed = g.count * t.Limit() / g.limit
+	}
+	if n := min(g.waiting, allowed-g.running); n > 0 {
+		g.running += n
+		g.waiting -= n
+	}
+}
+
+func (c *cell) deliver(p packet) {
+	if p.ack != nil {
+		c.execute(c.machine.Handle(c.clock.Now(), *p.ack))
+		return
+	}
+	g, ok := c.groups[p.group]
+	if !ok || !g.owned || g.epoch != p.epoch || g.id == c.deaf {
+		return
+	}
+	if p.allot.Version() >= g.version {
+		g.count, g.version, g.limit = p.allot.Count(), p.allot.Version(), p.allot.Limit()
+	}
+	ack := order.AllotAckMsg{}.
+		WithTeam(team).
+		WithGroup(g.id).
+		WithCount(max(g.count, g.running)).
+		WithVersion(g.version).
+		WithRunning(g.running).
+		WithWaiting(g.waiting)
+	c.transmit(packet{ack: &ack})
+}
+
+func (c *cell) transmit(p packet) {
+	if c.rand.Float64() < c.loss {
+		return
+	}
+	p.due = c.clock.Now().Add(time.Duration(c.rand.Int64N(int64(c.delay) + 1)))
+	c.network = append(c.network, p)
+}
+
+func (c *cell) execute(commands []tonnage.Command) {
+	for _, cmd := range commands {
+		post, ok := cmd.(tonnage.PostCmd)
+		if !ok {
+			c.pending = append(c.pending, cmd)
+			continue
+		}
+		g, ok := c.groups[post.Group()]
+		if ok {
+			c.transmit(packet{group: g.id, epoch: g.epoch, allot: post.Msg()})
+		}
+	}
+}
+
+func (c *cell) callStore() {
+	if len(c.pending) == 0 {
+		return
+	}
+	cmd := c.pending[0]
+	c.pending = c.pending[1:]
+	now := c.clock.Now()
+	switch cmd := cmd.(type) {
+	case tonnage.ReadCmd:
+		entry, err := c.store.Get(context.Background(), tonnage.Key(team))
+		c.execute(c.machine.Read(now, cmd.Team(), entry, err))
+	case tonnage.WriteCmd:
+		version, err := c.store.Swap(context.Background(), tonnage.Key(team), cmd.Expected(), cmd.Value(), 0)
+		c.execute(c.machine.Written(now, cmd.Team(), version, err))
+	}
+}
+
+func (c *cell) observation() tonnage.Observation {
+	var (
+		listed  []order.GroupID
+		digests []order.GroupDigest
+	)
+	for _, id := range c.names() {
+		g := c.groups[id]
+		if g.listed {
+			listed = append(listed, id)
+		}
+		if !g.owned {
+			continue
+		}
+		digests = append(digests, order.GroupDigest{}.
+			WithGroup(id).
+			WithDomain(id.Domain()).
+			WithEpoch(g.epoch).
+			WithSlots(64).
+			WithWorkers(8).
+			WithRunning(map[order.TeamName]int{team: g.running}).
+			WithWaiting(map[order.TeamName]int{team: g.waiting}).
+			WithAllotted(map[order.TeamName]int{team: g.count}))
+	}
+	return tonnage.NewObservation(c.config, listed, digests, func(id order.GroupID) bool {
+		g, ok := c.groups[id]
+		return ok && g.owned
+	})
+}
+
+// takeGroup moves a group to a new owner, which reads the record.
+func (c *cell) takeGroup(g *fakeGroup) {
+	r, _ := c.stored()
+	g.epoch++
+	g.owned = true
+	g.count, g.version, g.limit = r.Groups[g.id], r.Version, r.Limit
+}
+
+func (r storedRecord) sum() int {
+	sum := 0
+	for _, n := range r.Groups {
+		sum += n
+	}
+	return sum
+}
+
+func (c *cell) running() int {
+	n := 0
+	for _, g := range c.groups {
+		n += g.running
+	}
+	return n
+}
+
+// Guards against a team that gets no allotment, or more than its limit.
+func TestFirstDivision(t *testing.T) {
+	is := is.New(t)
+	c := newCell(t, 1, 6, 20)
+	c.run(2 * time.Second)
+	r, _ := c.stored()
+	is.Equal(r.Limit, 20)
+	is.Equal(r.sum(), 20)
+	in := 0
+	for _, g := range c.groups {
+		in += g.count
+		is.True(g.count >= 3) // spread evenly
+	}
+	is.Equal(in, 20)
+}
+
+// Guards against an allotment that stays where nobody needs it, and against a
+// team that waits below its limit.
+func TestRedivisionFollowsDemand(t *testing.T) {
+	is := is.New(t)
+	c := newCell(t, 1, 6, 20)
+	c.run(2 * time.Second)
+	busy := c.groups["d0/r00"]
+	busy.waiting = 30
+	c.run(10 * time.Second)
+	is.Equal(busy.running, 20)
+	is.Equal(c.running(), 20)
+	busy.running, busy.waiting = 0, 0
+	other := c.groups["d1/r01"]
+	other.waiting = 12
+	c.run(10 * time.Second)
+	is.Equal(other.running, 12)
+}
+
+// Guards against a limit that is not followed down and up.
+func TestLimitChanges(t *testing.T) {
+	is := is.New(t)
+	c := newCell(t, 1, 6, 20)
+	for _, g := range c.groups {
+		g.waiting = 10
+	}
+	c.run(5 * time.Second)
+	is.Equal(c.running(), 20)
+	c.config = c.config.WithTeam(sheet.NewTeam(team, 1, 8))
+	c.run(5 * time.Second)
+	r, _ := c.stored()
+	is.Equal(r.sum(), 20) // what runs stays recorded
+	for _, g := range c.groups {
+		g.running = min(g.running, 1)
+	}
+	c.run(5 * time.Second)
+	r, _ = c.stored()
+	is.Equal(r.sum(), 8)
+	is.Equal(r.Limit, 8)
+	c.config = c.config.WithTeam(sheet.NewTeam(team, 1, 40))
+	c.run(5 * time.Second)
+	is.Equal(c.running(), 40)
+}
+
+// Guards against an allotment that stays with a group that is gone, and a new
+// group that gets none.
+func TestGroupsVanishAndAppear(t *testing.T) {
+	is := is.New(t)
+	c := newCell(t, 1, 2, 20)
+	c.run(3 * time.Second)
+	for _, g := range c.groups {
+		g.owned, g.listed = false, false
+	}
+	id := order.GroupID("d2/new")
+	c.groups[id] = &fakeGroup{id: id, epoch: 1, owned: true, listed: true, waiting: 20}
+	c.run(8 * time.Second)
+	is.Equal(c.groups[id].running, 0) // tasks may run until their leases end
+	c.run(10 * time.Second)
+	is.Equal(c.groups[id].running, 20)
+}
+
+func (c *cell) group(t *rapid.T) *fakeGroup {
+	return c.groups[rapid.SampledFrom(c.names()).Draw(t, "group")]
+}
+
+func (c *cell) setLimit(limit int) {
+	c.largest = max(c.largest, limit)
+	c.config = c.config.WithTeam(sheet.NewTeam(team, 1, limit))
+}
+
+// changeOwner replaces the divider. A write of the former one may be on its
+// way.
+func (c *cell) changeOwner(*rapid.T) {
+	c.late = append(c.late, c.pending...)
+	c.newOwner()
+}
+
+func (c *cell) runLate(*rapid.T) {
+	for _, cmd := range c.late {
+		if w, ok := cmd.(tonnage.WriteCmd); ok {
+			_, _ = c.store.Swap(context.Background(), tonnage.Key(team), w.Expected(), w.Value(), 0)
+		}
+	}
+	c.late = nil
+}
+
+func (c *cell) check(t *rapid.T) {
+	r, _ := c.stored()
+	if r.sum() > r.Limit {
+		t.Fatalf("recorded %d of %d", r.sum(), r.Limit)
+	}
+	if c.running() > c.largest {
+		t.Fatalf("%d run, the largest limit was %d", c.running(), c.largest)
+	}
+}
+
+func (c *cell) actions() map[string]func(*rapid.T) {
+	return map[string]func(*rapid.T){
+		"run": func(t *rapid.T) {
+			c.run(time.Duration(rapid.IntRange(1, 300).Draw(t, "steps")) * 10 * time.Millisecond)
+		},
+		"wait": func(t *rapid.T) { c.group(t).waiting += rapid.IntRange(1, 20).Draw(t, "waiting") },
+		"end": func(t *rapid.T) {
+			g := c.group(t)
+			g.running -= rapid.IntRange(0, g.running).Draw(t, "ended")
+		},
+		"network": func(t *rapid.T) {
+			c.loss = rapid.SampledFrom([]float64{0, 0.2, 0.6}).Draw(t, "loss")
+			c.delay = rapid.SampledFrom([]time.Duration{time.Millisecond, time.Second, 3 * time.Second}).Draw(t, "delay")
+		},
+		"outage": func(t *rapid.T) {
+			c.outage = rapid.Bool().Draw(t, "outage")
+			c.store.SetOutage(c.outage)
+		},
+		"lose":       func(*rapid.T) { c.store.LoseAnswers(2) },
+		"move":       func(t *rapid.T) { c.takeGroup(c.group(t)) },
+		"owner":      c.changeOwner,
+		"late write": c.runLate,
+		"limit":      func(t *rapid.T) { c.setLimit(rapid.IntRange(0, 40).Draw(t, "limit")) },
+		"":           c.check,
+	}
+}
+
+// Guards against a sum of allotments, recorded or in use, above the limit, and
+// against a division that stops for ever, under lost and late messages, store
+// outages, lost answers, changes of owner on both sides, and changed limits.
+func TestRandomDivision(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := newCell(t, rapid.Uint64().Draw(t, "seed"), rapid.IntRange(1, 6).Draw(t, "groups"), 20)
+		c.largest = 20
+		t.Repeat(c.actions())
+		c.loss, c.delay = 0, time.Millisecond
+		c.outage = false
+		c.store.SetOutage(false)
+		c.store.LoseAnswers(0)
+		c.setLimit(c.largest)
+		for _, g := range c.groups {
+			g.waiting = c.largest
+		}
+		c.run(20 * time.Second)
+		if c.running() != c.largest {
+			t.Fatalf("%d run of %d in the end", c.running(), c.largest)
+		}
+	})
+}
+
+// Guards against an increase that counts on a decrease which a new owner of the
+// lowered group does not know, because it read the record before.
+func TestIncreaseWaitsForNewOwner(t *testing.T) {
+	is := is.New(t)
+	c := newCell(t, 1, 2, 20)
+	c.run(3 * time.Second)
+	from, to := c.groups["d0/r00"], c.groups["d1/r01"]
+	to.waiting = 20
+	for before, _ := c.stored(); ; {
+		r, _ := c.stored()
+		if from.version > before.Version && r.Version == before.Version {
+			break // acknowledged, not yet written
+		}
+		c.tick()
+	}
+	from.epoch++ // a new owner that read the record before the decrease
+	from.count, from.version = 10, from.version-1
+	c.deaf = from.id
+	c.run(3 * time.Second)
+	from.waiting = 20
+	c.run(3 * time.Second)
+	is.True(c.running() <= 20)
+	c.deaf = ""
+	c.run(5 * time.Second)
+	is.Equal(c.running(), 20)
+}
