--- a/order/schema_gen.go
+++ b/order/schema_gen.go
@@ -341,16 +341,17 @@
 	Outcome struct{ w outcomeWire }
 
 	outcomeWire struct {
-		Task     TaskID    `cbor:"1,keyasint,omitempty"`
-		Attempt  Attempt   `cbor:"2,keyasint,omitempty"`
-		Code     Code      `cbor:"3,keyasint,omitempty"`
-		Text     string    `cbor:"4,keyasint,omitempty"`
-		Body     []byte    `cbor:"5,keyasint,omitempty"`
-		Length   int       `cbor:"6,keyasint,omitempty"`
-		Checksum uint64    `cbor:"7,keyasint,omitempty"`
-		Worker   WorkerID  `cbor:"8,keyasint,omitempty"`
-		Started  time.Time `cbor:"9,keyasint,omitempty"`
-		Ended    time.Time `cbor:"10,keyasint,omitempty"`
+		Task         TaskID    `cbor:"1,keyasint,omitempty"`
+		Attempt      Attempt   `cbor:"2,keyasint,omitempty"`
+		Code         Code      `cbor:"3,keyasint,omitempty"`
+		Text         string    `cbor:"4,keyasint,omitempty"`
+		Body         []byte    `cbor:"5,keyasint,omitempty"`
+		Length       int       `cbor:"6,keyasint,omitempty"`
+		Checksum     uint64    `cbor:"7,keyasint,omitempty"`
+		Worker       WorkerID  `cbor:"8,keyasint,omitempty"`
+		Started      time.Time `cbor:"9,keyasint,omitempty"`
+		Ended        time.Time `cbor:"10,keyasint,omitempty"`
+		Checkpointed bool      `cbor:"11,keyasint,omitempty"`
 	}
 )
 
@@ -444,6 +445,15 @@
 	return x
 }
 
+// Checkpointed reports whether the task was checkpointed and resumes in its next attempt.
+func (x Outcome) Checkpointed() bool { return x.w.Checkpointed }
+
+// WithCheckpointed returns a copy with Checkpointed set.
+func (x Outcome) WithCheckpointed(v bool) Outcome {
+	x.w.Checkpointed = v
+	return x
+}
+
 // MarshalCBOR implements cbor.Marshaler.
 func (x Outcome) MarshalCBOR() ([]byte, error) { return marshal(x.w) }
 
@@ -888,6 +898,7 @@
 		Partition PartitionID `cbor:"1,keyasint,omitempty"`
 		Epoch     Epoch       `cbor:"2,keyasint,omitempty"`
 		State     []byte      `cbor:"3,keyasint,omitempty"`
+		Handover  string      `cbor:"4,keyasint,omitempty"`
 	}
 )
 
@@ -918,6 +929,15 @@
 	return x
 }
 
+// Handover returns the identifier that the record of this handover carries.
+func (x HandoverMsg) Handover() string { return x.w.Handover }
+
+// WithHandover returns a copy with Handover set.
+func (x HandoverMsg) WithHandover(v string) HandoverMsg {
+	x.w.Handover = v
+	return x
+}
+
 // MarshalCBOR implements cbor.Marshaler.
 func (x HandoverMsg) MarshalCBOR() ([]byte, error) { return marshal(x.w) }
 
@@ -2129,6 +2149,7 @@
 		Version   uint64      `cbor:"5,keyasint,omitempty"`
 		Running   int         `cbor:"6,keyasint,omitempty"`
 		Waiting   int         `cbor:"7,keyasint,omitempty"`
+		Epoch     Epoch       `cbor:"8,keyasint,omitempty"`
 	}
 )
 
@@ -2195,6 +2216,15 @@
 	return x
 }
 
+// Epoch returns the epoch at which the group acknowledges.
+func (x AllotAckMsg) Epoch() Epoch { return x.w.Epoch }
+
+// WithEpoch returns a copy with Epoch set.
+func (x AllotAckMsg) WithEpoch(v Epoch) AllotAckMsg {
+	x.w.Epoch = v
+	return x
+}
+
 // MarshalCBOR implements cbor.Marshaler.
 func (x AllotAckMsg) MarshalCBOR() ([]byte, error) { return marshal(x.w) }
 
