--- a/wharf/open.go
+++ b/wharf/open.go
@@ -97,9 +97,19 @@
 		WithGroups(o.hosts.Groups).
 		WithPlacers(o.placers).
 		WithOwned(o.owned)
+	division := tonnage.NewDeps().
+		WithClock(o.clock).
+		WithRegistry(o.registry).
+		WithLog(o.log).
+		WithGuard(guard).
+		WithPoster(o.router).
+		WithConfig(o.watcher.Current).
+		WithDigests(o.digests.Current).
+		WithGroups(o.hosts.Groups).
+		WithOwned(o.owned)
 	part := &queuePart{
 		queue:   till.New(partition, epoch, deps, till.WithInbox(o.limits.inbox), till.WithMachine(till.WithLimit(o.limits.queue))),
-		divider: tonnage.New(partition, o.store, o.clock, o.watcher.Current, o.hosts.Groups),
+		divider: tonnage.New(partition, epoch, o.store, division),
 		journal: journal,
 	}
 	o.router.AddQueue(partition, part.queue, part.divider)
