Give each scripted deployment a loopback address of its own

Cause: ports on 127.0.0.1 that were free when a script chose them were taken by outgoing connections of other scripts; a process then ended at its start (2 of 15 scripts in one run of the whole suite). Each script now uses fixed ports on its own 127/8 address.

--- a/voyage/cluster_test.go
+++ b/voyage/cluster_test.go
@@ -35,7 +35,7 @@
 		"cores": 64, "memory": 274877906944, "accelerators": 0,
 		"slots": 8, "connections": 64, "fenced": true,
 	},
-	"entry_hosts": [{"address": "127.0.0.1", "domain": "east"}],
+	"entry_hosts": [{"address": %q, "domain": "east"}],
 }`
 
 const sheetText = `type,name,value,state
@@ -80,9 +80,13 @@
 		admins:    make(map[string]string),
 		flows:     make(map[string]*flow),
 	}
-	ports := freePorts(t, 3+5*entryHosts)
+	host := nextHost()
+	ports := make([]string, 0, 3+5*entryHosts)
+	for i := range cap(ports) {
+		ports = append(ports, fmt.Sprintf("%s:%d", host, 7000+i))
+	}
 	c.store, c.hosts, c.workers = "http://"+ports[0], "http://"+ports[1], "http://"+ports[2]
-	file, err := writeFile(dir, "hosts.json", fmt.Sprintf(hostsFormat, workers, perRack, c.workers+"/w/w{n}"))
+	file, err := writeFile(dir, "hosts.json", fmt.Sprintf(hostsFormat, workers, perRack, c.workers+"/w/w{n}", host))
 	if err != nil {
 		return nil, err
 	}
--- a/voyage/process_test.go
+++ b/voyage/process_test.go
@@ -2,12 +2,12 @@
 
 import (
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -30,6 +30,8 @@
 	err  error
 }
 
+var hostNumber atomic.Int32
+
 // binaries builds the programs once for all scripts.
 func binaries(t *testing.T) string {
 	t.Helper()
@@ -105,19 +107,12 @@
 	}
 }
 
-// freePorts returns addresses on loopback that nothing listens on now.
-func freePorts(t *testing.T, n int) []string {
-	t.Helper()
-	var addresses []string
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer l.Close()
-		addresses = append(addresses, l.Addr().String())
-	}
-	return addresses
+// nextHost returns a loopback address that no other script and no other test
+// run at the same time uses, so that fixed ports on it are free. Ports on
+// 127.0.0.1 that were free a moment ago may be taken by outgoing connections.
+func nextHost() string {
+	number := hostNumber.Add(1)
+	return fmt.Sprintf("127.%d.%d.%d", 1+os.Getpid()%250, 1+os.Getpid()/250%250, number)
 }
 
 func waitForURL(url string, limit time.Duration) error {
