--- a/voyage/checks_test.go
+++ b/voyage/checks_test.go
@@ -75,6 +75,39 @@
 	return nil
 }
 
+// cancel: cancel NAME N cancels the first N requests of a flow at once.
+func cancel(_ *testing.T, _ *testscript.TestScript, c *cluster, args []string) error {
+	numbers, err := integers(args[1:], 1)
+	if err != nil {
+		return err
+	}
+	c.flows[args[0]].cancel(numbers[0])
+	return nil
+}
+
+// liveTasks: live TEAM N DURATION waits until exactly N tasks of the team run.
+func liveTasks(_ *testing.T, _ *testscript.TestScript, c *cluster, args []string) error {
+	numbers, err := integers(args[1:2], 1)
+	if err != nil {
+		return err
+	}
+	limit, err := time.ParseDuration(args[2])
+	if err != nil {
+		return err
+	}
+	running := 0
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		audit, err := c.audit()
+		if err != nil {
+			return err
+		}
+		if running = audit.Teams[order.TeamName(args[0])]; running == numbers[0] {
+			return nil
+		}
+	}
+	return fmt.Errorf("%d tasks of %s run, wanted %d within %s", running, args[0], numbers[0], limit)
+}
+
 // race: race N TEAM lets N operators change the team at once and fails unless
 // each recorded change has a revision of its own and the others had a conflict.
 func race(_ *testing.T, ts *testscript.TestScript, c *cluster, args []string) error {
--- a/voyage/flow_test.go
+++ b/voyage/flow_test.go
@@ -3,10 +3,12 @@
 import (
 	"encoding/base64"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
 	"sort"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -25,6 +27,7 @@
 		kind    string
 		options map[string]bool
 		runMS   int
+		tasks   int
 		limit   time.Duration
 
 		group   sync.WaitGroup
@@ -51,10 +54,13 @@
 
 func newFlow(c *cluster, name, team, kind string, runMS int, limit time.Duration, options ...string) *flow {
 	f := &flow{
-		c: c, name: name, team: team, kind: kind, runMS: runMS, limit: limit,
+		c: c, name: name, team: team, kind: kind, runMS: runMS, tasks: 1, limit: limit,
 		options: make(map[string]bool), answers: make(map[string]answer),
 	}
 	for _, option := range options {
+		if tasks, ok := strings.CutPrefix(option, "tasks="); ok {
+			f.tasks, _ = strconv.Atoi(tasks)
+		}
 		f.options[option] = true
 	}
 	return f
@@ -72,11 +78,11 @@
 	id := fmt.Sprintf("%s-%d", f.name, i)
 	want := "result of " + id
 	payload := fmt.Sprintf(`{"run_ms":%d,"result":%q}`, f.runMS, want)
-	body := fmt.Sprintf(`{"id":%q,"kind":%q,"idempotent":%t,"detached":%t,"deadline_ms":%d,"cores":1,"memory_mb":64,"payload":%q}`,
-		id, f.kind, f.options["idempotent"], f.options["detached"], f.limit.Milliseconds(),
+	body := fmt.Sprintf(`{"id":%q,"kind":%q,"tasks":%d,"idempotent":%t,"detached":%t,"deadline_ms":%d,"cores":1,"memory_mb":64,"payload":%q}`,
+		id, f.kind, f.tasks, f.options["idempotent"], f.options["detached"] || f.options["detached-only"], f.limit.Milliseconds(),
 		base64.StdEncoding.EncodeToString([]byte(payload)))
 	begin := time.Now()
-	a, err := f.exchange(i, body)
+	a, err := f.exchangeOnceOrTwice(i, body)
 	if err == nil && f.options["detached"] && a.Code == 1 {
 		a, err = f.await(i, id)
 	}
@@ -94,6 +100,41 @@
 	f.answers[id] = a
 }
 
+// exchangeOnceOrTwice sends a request, with the option "twice" through two
+// gates at the same moment; both must then get the same answer.
+func (f *flow) exchangeOnceOrTwice(i int, body string) (answer, error) {
+	if !f.options["twice"] {
+		return f.exchange(i, body)
+	}
+	var (
+		group     sync.WaitGroup
+		second    answer
+		secondErr error
+	)
+	group.Go(func() { second, secondErr = f.exchange(i+1, body) })
+	first, err := f.exchange(i, body)
+	group.Wait()
+	if err != nil || secondErr != nil {
+		return first, errors.Join(err, secondErr)
+	}
+	if first.Code != second.Code || string(first.Result) != string(second.Result) {
+		return first, fmt.Errorf("two gates answered %d %q and %d %q", first.Code, first.Result, second.Code, second.Result)
+	}
+	return first, nil
+}
+
+// cancel cancels all requests of the flow that are open or not.
+func (f *flow) cancel(count int) {
+	var group sync.WaitGroup
+	for i := range count {
+		group.Go(func() {
+			id := fmt.Sprintf("%s-%d", f.name, i)
+			_, _ = f.call(http.MethodDelete, f.c.gate(i)+"/v1/requests/"+id, "")
+		})
+	}
+	group.Wait()
+}
+
 // exchange sends a request until a gate answers it with something else than a
 // refusal that asks to send it again.
 func (f *flow) exchange(i int, body string) (answer, error) {
--- a/voyage/voyage_test.go
+++ b/voyage/voyage_test.go
@@ -61,6 +61,8 @@
 			"starts":   scripted(t, noteStarts),
 			"nostarts": scripted(t, noNewStarts),
 			"race":     scripted(t, race),
+			"cancel":   scripted(t, cancel),
+			"live":     scripted(t, liveTasks),
 		},
 	})
 }
