End a suspicion by a sign of life

With two placers, three lost heartbeats made the owner drop its only standby for the 10 s of the suspicion; a kill in that time left its partitions without a claimer. Suspected placers are now asked every 250 ms.

--- a/harbour/owner.go
+++ b/harbour/owner.go
@@ -20,6 +20,7 @@
 		revision order.Revision
 		dirty    bool
 		urgent   bool
+		probe    bool
 
 		// requests remembers when each of the last heartbeats was sent.
 		requests [outstanding]request
@@ -244,6 +245,7 @@
 			c.pair(p.record.standby)
 		}
 	}
+	c.probeSuspects(now)
 	for _, id := range c.pairIDs() {
 		q := c.pairs[id]
 		if q.dirty {
@@ -252,12 +254,28 @@
 		c.dropUnused(now, q)
 		due := now.Sub(q.sent) >= HeartbeatPeriod
 		soon := q.urgent && now.Sub(q.sent) >= urgentPeriod
-		if len(q.claims) > 0 && (due || soon) {
+		if q.probe || (len(q.claims) > 0 && (due || soon)) {
 			c.sendHeartbeat(now, q)
 		}
 	}
 }
 
+// probeSuspects asks suspected placers for a sign of life, which ends the
+// suspicion. Without it, three lost heartbeats would leave a partition of a
+// cell with two placers without a standby for the whole time of the suspicion.
+func (c *protocol) probeSuspects(now time.Time) {
+	for id := range c.suspects {
+		if _, ok := c.live[id]; !ok {
+			continue
+		}
+		q := c.pair(id)
+		q.used = now
+		if len(q.claims) == 0 {
+			q.probe = now.Sub(q.sent) >= HeartbeatPeriod
+		}
+	}
+}
+
 func (c *protocol) collectClaims(q *pair) {
 	q.dirty = false
 	claims := make([]order.Claim, 0, len(q.claims)+1)
@@ -282,7 +300,7 @@
 func (c *protocol) sendHeartbeat(now time.Time, q *pair) {
 	c.sequence++
 	q.requests[c.sequence%outstanding] = request{sequence: c.sequence, at: now}
-	q.sent, q.urgent = now, false
+	q.sent, q.urgent, q.probe = now, false, false
 	c.emit(sendCommand{to: q.id, msg: order.HeartbeatMsg{}.
 		WithSequence(c.sequence).
 		WithClaims(q.claims).
--- a/harbour/random_test.go
+++ b/harbour/random_test.go
@@ -165,7 +165,8 @@
 }
 
 // Guards against a takeover after a kill that takes longer than 3.5 s while
-// the store and the standbys live.
+// the store and the standbys live, and against partitions that stay without a
+// standby.
 func TestTakeoverInTime(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s, ids := drawSim(t, 2, 6)
@@ -176,6 +177,14 @@
 		if err := s.run(settle); err != nil {
 			t.Fatal(err)
 		}
+		for began := s.now; !s.allHaveStandbys(ids); {
+			if s.now.Sub(began) > 2*time.Second {
+				t.Fatal("a partition has no standby for 2 s")
+			}
+			if err := s.run(10 * time.Millisecond); err != nil {
+				t.Fatal(err)
+			}
+		}
 		s.kill(rapid.SampledFrom(s.members).Draw(t, "victim"))
 		for range 3500 / 10 {
 			if err := s.run(10 * time.Millisecond); err != nil {
@@ -200,3 +209,12 @@
 	}
 	return true
 }
+
+func (s *sim) allHaveStandbys(ids []order.PartitionID) bool {
+	for _, id := range ids {
+		if s.store.records[id].record.standby == "" {
+			return false
+		}
+	}
+	return true
+}
