--- a/wharf/open.go
+++ b/wharf/open.go
@@ -97,9 +97,19 @@
 		WithGroups(o.hosts.Groups).
 		WithPlacers(o.placers).
 		WithOwned(o.owned)
+	division := tonnage.NewDeps().
+		WithClock(o.clock).
+		WithRegistry(o.registry).
+		WithLog(o.log).
+		WithGuard(guard).
+		WithPoster(o.router).
+		WithConfig(o.watcher.Current).
+		WithDigests(o.digests.Current).
+		WithGroups(o.hosts.Groups).
+		WithOwned(o.owned)
 	part := &queuePart{
 		queue:   till.New(partition, epoch, deps, till.WithInbox(o.limits.inbox), till.WithMachine(till.WithLimit(o.limits.queue))),
-		divider: tonnage.New(partition, o.store, o.clock, o.watcher.Current, o.hosts.Groups),
+		divider: tonnage.New(partition, epoch, o.store, division),
 		journal: journal,
 	}
 	o.router.AddQueue(partition, part.queue, part.divider)
@@ -116,7 +126,7 @@
 		WithPoster(o.router).
 		WithStore(o.store).
 		WithConfig(o.watcher.Current).
-		WithWorkers(func() []roster.Worker { return o.workersOf(group) }).
+		WithWorkers(func() []roster.Worker { return o.hosts.WorkersOf(group) }).
 		WithLeaving(o.hosts.Leaving).
 		WithElsewhere(func(team order.TeamName) float64 { return o.digests.Elsewhere(group, team) })
 	part := &groupPart{group: berth.New(group, epoch, deps, berth.WithInbox(o.limits.inbox))}
@@ -140,16 +150,6 @@
 	return ok
 }
 
-func (o *opener) workersOf(group order.GroupID) []roster.Worker {
-	var workers []roster.Worker
-	for _, w := range o.hosts.Workers() {
-		if w.Group() == group {
-			workers = append(workers, w)
-		}
-	}
-	return workers
-}
-
 // Run implements Part.
 func (p *queuePart) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
