Restart a part once when a move is broken off

A move that the store refused raised LostEvent and AcquiredEvent for one epoch; a reader that stops the old part in the background, as wharf does, could stop the new one and leave the partition unserved. Only AcquiredEvent is raised now.

--- a/harbour/command.go
+++ b/harbour/command.go
@@ -10,7 +10,8 @@
 	Event interface{ isEvent() }
 
 	// AcquiredEvent tells that the record names this process as the owner. It
-	// may act as soon as the guard says so.
+	// may act as soon as the guard says so. It comes a second time for an epoch
+	// when a move was broken off after the part had been stopped.
 	AcquiredEvent struct {
 		partition order.PartitionID
 		epoch     order.Epoch
--- a/harbour/keeper.go
+++ b/harbour/keeper.go
@@ -114,7 +114,9 @@
 }
 
 // WithCollect sets the function that stops the part that serves a partition
-// and returns its state, for moves between running processes. It may block.
+// and returns its state, for moves between running processes. It may block. A
+// LostEvent follows when the partition has moved, and an AcquiredEvent with the
+// same epoch when the move was broken off.
 func WithCollect(collect func(order.PartitionID) []byte) Option {
 	return func(k *Keeper) { k.collect = collect }
 }
--- a/harbour/release.go
+++ b/harbour/release.go
@@ -138,14 +138,14 @@
 }
 
 // abortRelease goes on as the owner. A part that has given its state away is
-// started again with it.
+// started again with it, at the same epoch: no LostEvent goes before, because
+// a reader that stops the part on it might stop the new one.
 func (c *protocol) abortRelease(p *partition) {
 	r := p.release
 	p.release = nil
 	c.refresh(p)
 	c.registry.Count("harbour.handover_aborted")
 	if r.collected && c.collects {
-		c.emit(eventCommand{LostEvent{partition: p.id, epoch: p.hold.epoch}})
 		c.emit(eventCommand{AcquiredEvent{partition: p.id, epoch: p.hold.epoch, state: r.state}})
 	}
 	c.emit(releasedCommand{partition: p.id, err: ErrNotOwner})
