Read allotment records again while a team without one waits

A record that was written after the group had read all records stayed unknown, so a new team could start nothing. Records are also read every 30 s. Outcomes carry the epoch of the group.

--- a/berth/allotments.go
+++ b/berth/allotments.go
@@ -50,14 +50,14 @@
 		m.allotAt = now.Add(allotRetry)
 		return
 	}
-	first := !m.allotmentsRead
-	m.allotmentsRead = true
-	m.allotAt = time.Time{}
-	if first {
+	m.allotReadAt = now
+	m.allotAt = now.Add(allotPeriod)
+	if !m.allotmentsRead {
 		// A decrease that the previous owner acknowledged may be written
-		// after this read, so the records are read once more.
+		// after this read, so the records are soon read once more.
 		m.allotAt = now.Add(allotReread)
 	}
+	m.allotmentsRead = true
 	for team, a := range r.records {
 		known, ok := m.allotments[team]
 		if ok && known.version >= a.version {
@@ -68,6 +68,19 @@
 	}
 }
 
+// Reads the records again soon if a team waits that has none, as after the
+// team was added.
+func (m *machine) wantAllotments() {
+	for _, teams := range m.bids.classes {
+		for team := range teams {
+			at := m.allotReadAt.Add(allotWanted)
+			if _, ok := m.allotments[team]; !ok && at.Before(m.allotAt) {
+				m.allotAt = at
+			}
+		}
+	}
+}
+
 func (m *machine) onAllot(msg order.AllotMsg) {
 	team := msg.Team()
 	known, ok := m.allotments[team]
--- a/berth/berth.go
+++ b/berth/berth.go
@@ -68,6 +68,8 @@
 	bidPeriod      = 500 * time.Millisecond
 	allotRetry     = 500 * time.Millisecond
 	allotReread    = 2 * time.Second
+	allotWanted    = time.Second
+	allotPeriod    = 30 * time.Second
 	settledPeriod  = time.Minute
 	listPatience   = 3 * time.Second
 	savePatience   = 5 * time.Second
--- a/berth/group_test.go
+++ b/berth/group_test.go
@@ -385,8 +385,9 @@
 	is.Equal(g.Run(context.Background()), berth.ErrClosed)
 }
 
-// Guards against a size that is larger than any worker and waits, and against
-// a team without an allotment record that starts tasks.
+// Guards against a size that is larger than any worker and waits, against a
+// team without an allotment record that starts tasks, and against a record
+// written later that is never read.
 func TestRefusalsAndMissingAllotment(t *testing.T) {
 	is := is.New(t)
 	s := newSite(t, 1)
@@ -404,6 +405,11 @@
 	time.Sleep(300 * time.Millisecond)
 	is.Equal(s.workers.Audit().Starts, 0)
 	is.Equal(g.Digest().Waiting()["barges"], 1)
+	s.mu.Lock()
+	s.config = s.config.WithTeam(sheet.NewTeam("barges", 1, 10))
+	s.mu.Unlock()
+	s.allot("barges", 10, 10)
+	s.eventually("record is read", func() bool { return s.queue.endedCount() == 1 })
 }
 
 // Guards against a process that stops while calls are open and leaves them
--- a/berth/machine.go
+++ b/berth/machine.go
@@ -33,6 +33,7 @@
 	allotmentsRead    bool
 	readingAllotments bool
 	allotAt           time.Time
+	allotReadAt       time.Time
 	excessAt          time.Time
 	bidsAt            time.Time
 
@@ -158,7 +159,7 @@
 		m.hostsAt = now.Add(hostPeriod)
 		m.refreshHosts(now)
 	}
-	if !m.readingAllotments && (!m.allotmentsRead || !m.allotAt.IsZero()) && !now.Before(m.allotAt) {
+	if !m.readingAllotments && !now.Before(m.allotAt) {
 		m.readingAllotments = true
 		m.emit(readAllotmentsCommand{})
 	}
--- a/berth/outcomes.go
+++ b/berth/outcomes.go
@@ -70,7 +70,8 @@
 		WithPartition(partition).
 		WithGroup(m.group).
 		WithOutcome(outcome).
-		WithNotStarted(notStarted)
+		WithNotStarted(notStarted).
+		WithEpoch(m.epoch)
 }
 
 func (m *machine) onEndedAck(now time.Time, ref crane.Ref) {
--- a/berth/placement.go
+++ b/berth/placement.go
@@ -122,6 +122,7 @@
 	}
 	m.bidsAt = now.Add(bidPeriod)
 	m.saveWorker(now)
+	m.wantAllotments()
 	for _, b := range m.bids.inOrder() {
 		if code, text := m.refusal(now, b.task); code != order.Done && code != order.QueueFull {
 			m.bids.remove(b.task.ID())
