Hand the state of a group over at a planned stop

A successor had to report offered attempts that never started as unknown. The former owner now drains: it ends offers and starts, waits for open starts and names the attempts that certainly did not start; the answer carries the epoch of the offer.

--- a/berth/entry.go
+++ b/berth/entry.go
@@ -50,6 +50,7 @@
 		notStarted bool
 		expired    bool
 		unknown    bool
+		epoch      order.Epoch
 	}
 )
 
--- a/berth/group.go
+++ b/berth/group.go
@@ -29,6 +29,10 @@
 		calls  sync.WaitGroup
 		done   chan struct{}
 		began  atomic.Bool
+		state  []byte
+
+		draining atomic.Bool
+		starting atomic.Int64
 
 		mu      sync.Mutex
 		machine *machine
@@ -65,20 +69,24 @@
 	deps.log = deps.log.With().Str("group", string(group)).Logger()
 	ctx, cancel := context.WithCancel(context.Background())
 	g := &Group{
-		group:   group,
-		epoch:   epoch,
-		deps:    deps,
-		inbox:   make(chan event, inboxSize),
-		result:  make(chan event, resultSize),
-		ctx:     ctx,
-		cancel:  cancel,
-		done:    make(chan struct{}),
-		machine: newMachine(group, epoch, deps, deps.clock.Now()),
-		lanes:   make(map[order.WorkerID]*lane),
+		group:  group,
+		epoch:  epoch,
+		inbox:  make(chan event, inboxSize),
+		result: make(chan event, resultSize),
+		ctx:    ctx,
+		cancel: cancel,
+		done:   make(chan struct{}),
+		lanes:  make(map[order.WorkerID]*lane),
 	}
+	permit := deps.permit
+	g.deps = deps.WithPermit(func() bool { return !g.draining.Load() && permit() })
+	g.machine = newMachine(group, epoch, g.deps, deps.clock.Now())
 	for _, opt := range opts {
 		opt(g)
 	}
+	if err := g.machine.importState(deps.clock.Now(), g.state); err != nil {
+		deps.log.Error().Err(err).Msg("berth: state of the former owner ignored")
+	}
 	return g
 }
 
@@ -223,7 +231,9 @@
 	l := g.lane(c.worker)
 	ref := crane.NewRef(c.start.Task().ID(), c.start.Attempt())
 	check := func() error { return mayWrite(g.deps, g.group, c.worker) }
+	g.starting.Add(1)
 	g.spawn(func() event {
+		defer g.starting.Add(-1)
 		if l == nil {
 			return startResult{worker: c.worker, ref: ref, err: crane.ErrNotSent}
 		}
--- a/berth/group_test.go
+++ b/berth/group_test.go
@@ -49,6 +49,8 @@
 		mu      sync.Mutex
 		group   *berth.Group
 		silent  bool
+		hold    bool
+		offered map[order.TaskID]bool
 		started map[order.TaskID]order.WorkerID
 		ended   map[order.TaskID]order.EndedMsg
 		refused map[order.TaskID]order.Code
@@ -84,6 +86,7 @@
 		guard:    fixedGuard(time.Hour),
 		config:   sheet.NewConfig(1).WithTeam(sheet.NewTeam("tags", 1, 100)),
 		queue: &fakeQueue{
+			offered: make(map[order.TaskID]bool),
 			started: make(map[order.TaskID]order.WorkerID),
 			ended:   make(map[order.TaskID]order.EndedMsg),
 			refused: make(map[order.TaskID]order.Code),
@@ -115,14 +118,14 @@
 }
 
 // Starts a group at the epoch and returns its stop function.
-func (s *site) run(epoch order.Epoch) (*berth.Group, func()) {
+func (s *site) run(epoch order.Epoch, opts ...berth.Option) (*berth.Group, func()) {
 	deps := berth.NewDeps(s.clock, s.registry, zerolog.Nop()).
 		WithGuard(s.guard).
 		WithPoster(s.queue).
 		WithStore(s.store).
 		WithConfig(s.current).
 		WithWorkers(func() []roster.Worker { return s.roster })
-	g := berth.New(testGroup, epoch, deps)
+	g := berth.New(testGroup, epoch, deps, opts...)
 	s.queue.mu.Lock()
 	s.queue.group = g
 	s.queue.mu.Unlock()
@@ -154,6 +157,10 @@
 	partition := order.GroupPartition(testGroup)
 	switch m := m.(type) {
 	case order.OfferMsg:
+		q.offered[m.Task()] = true
+		if q.hold {
+			return nil
+		}
 		q.group.Handle("", order.ConfirmMsg{}.WithPartition(partition).WithTask(m.Task()).WithAttempt(m.Attempt()))
 	case order.StartedMsg:
 		q.started[m.Task()] = m.Worker()
@@ -423,3 +430,32 @@
 	stop()
 	is.New(t).True(time.Since(began) < time.Second)
 }
+
+// Guards against a planned stop after which an offered attempt that never
+// started is reported as unknown, and against starts by a group that drains.
+func TestDrainHandsOffersOver(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t, 1)
+	s.queue.hold = true
+	first, stop := s.run(1)
+	s.eventually("workers are read", first.Adopted)
+	offered, late := testTask("offered", 1000, ""), testTask("late", 1000, "")
+	bid(first, offered, 1)
+	s.eventually("offer arrives", func() bool {
+		s.queue.mu.Lock()
+		defer s.queue.mu.Unlock()
+		return s.queue.offered[offered.ID()]
+	})
+	state := first.Drain()
+	bid(first, late, 1)
+	stop()
+	second, stop := s.run(2, berth.WithState(state))
+	defer stop()
+	s.eventually("successor is ready", second.Adopted)
+	second.Handle("", order.ConfirmMsg{}.WithTask(offered.ID()).WithAttempt(1))
+	s.eventually("attempt is answered", func() bool { return s.queue.endedCount() == 1 })
+	ended, _ := s.queue.endedOf(offered.ID())
+	is.True(ended.NotStarted())
+	is.Equal(ended.Epoch(), order.Epoch(1))
+	is.Equal(s.workers.Audit().Starts, 0)
+}
--- a/berth/outcomes.go
+++ b/berth/outcomes.go
@@ -92,14 +92,15 @@
 }
 
 func (m *machine) settle(now time.Time, ref crane.Ref, notStarted bool) {
-	m.settled[ref] = settled{until: now.Add(settledPeriod), notStarted: notStarted}
+	m.settled[ref] = settled{until: now.Add(settledPeriod), notStarted: notStarted, epoch: m.epoch}
 }
 
 // Answers a message about an attempt that the group does not know. While
 // workers are unread the attempt may run there, so the sender has to ask
 // again. An attempt that this owner never offered may have run under an
-// earlier owner, on a worker that has crashed or vanished since; only an offer
-// of its own that expired certainly did not start.
+// earlier owner, on a worker that has crashed or vanished since. Only an offer
+// of its own that expired, or that the former owner handed over, certainly did
+// not start; the epoch in the message is that of the offer.
 func (m *machine) answerUnknown(now time.Time, ref crane.Ref, code order.Code, text string) {
 	known, over := m.settled[ref]
 	outcome := order.Outcome{}.WithTask(ref.Task()).WithAttempt(ref.Attempt())
@@ -107,8 +108,10 @@
 	case over && known.notStarted:
 		// A confirmation that was delayed on its way must not start what is
 		// reported as not started, so the attempt may not bid again.
-		m.settle(now, ref, true)
-		m.post(ref.Task().Partition(), m.endedMsg(ref.Task(), outcome.WithCode(code).WithText(text), true))
+		known.expired, known.until = false, now.Add(settledPeriod)
+		m.settled[ref] = known
+		ended := m.endedMsg(ref.Task(), outcome.WithCode(code).WithText(text), true)
+		m.post(ref.Task().Partition(), ended.WithEpoch(known.epoch))
 	case over && !known.unknown:
 		m.deps.registry.Count("berth.duplicate_confirm")
 	case !m.adopted():
--- a/berth/starts.go
+++ b/berth/starts.go
@@ -277,7 +277,7 @@
 	m.release(e)
 	m.deps.registry.Count("berth.offer_expired")
 	if e.offers == 0 || e.offers >= maxOffers {
-		m.settled[e.ref()] = settled{until: now.Add(settledPeriod), notStarted: true, expired: true}
+		m.settled[e.ref()] = settled{until: now.Add(settledPeriod), notStarted: true, expired: true, epoch: m.epoch}
 		return
 	}
 	m.bids.add(&bid{task: e.task, attempt: e.attempt, queued: e.queued, offers: e.offers})
