Resume checkpointed tasks, send only changed allotments, add benchmarks

A checkpointed task goes on in its next attempt, which is no second run. An acknowledgement of a former owner of a group settles nothing.

--- a/till/attempt.go
+++ b/till/attempt.go
@@ -132,7 +132,7 @@
 }
 
 // unstartedOnly reports whether all earlier attempts of the task are known as
-// not started.
+// not started, or ended with a checkpoint.
 func (m *Machine) unstartedOnly(t *task) bool {
 	open := 0
 	for _, other := range t.job.tasks {
@@ -140,7 +140,7 @@
 			open++
 		}
 	}
-	return t.job.confirms-t.job.unstarted <= open
+	return t.job.confirms-t.job.unstarted-t.job.resumed <= open
 }
 
 func (m *Machine) sendConfirm(t *task) {
--- /dev/null
+++ b/till/bench_test.go
@@ -0,0 +1,120 @@
+package till_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"chervilhollow/gauge"
+	"chervilhollow/logbook"
+	"chervilhollow/order"
+	"chervilhollow/sheet"
+	"chervilhollow/till"
+)
+
+// discard takes all records and never completes them.
+type discard struct{ token logbook.Token }
+
+func (d *discard) Add(logbook.Record) (logbook.Token, error) {
+	d.token++
+	return d.token, nil
+}
+
+func (d *discard) Cancel(logbook.Token) bool { return false }
+
+// benchMachine returns a machine that sees the groups, with an inventory.
+func benchMachine(b *testing.B, groups int) (*till.Machine, time.Time) {
+	b.Helper()
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	m := till.NewMachine(now, testPartition, 1, &discard{}, gauge.New(zerolog.Nop()), nil, till.WithSeed(1))
+	var (
+		names   []order.GroupID
+		digests []order.GroupDigest
+	)
+	for i := range groups {
+		g := &fakeGroup{id: order.NewGroupID(order.DomainName(fmt.Sprintf("d%d", i%30)), fmt.Sprint("r", i)), epoch: 1, slots: 1 << 20}
+		names = append(names, g.id)
+		digests = append(digests, g.digest())
+	}
+	m.Observe(now, till.NewObservation().
+		WithConfig(sheet.NewConfig(1).WithTeam(sheet.NewTeam(testTeam, 1, 1<<20))).
+		WithGroups(names).
+		WithDigests(digests).
+		WithPlacers([]order.MemberID{placerID}))
+	m.Handle(now, placerID, order.InventoryReplyMsg{}.WithPartition(testPartition).WithEpoch(1).WithGroups(names))
+	if !m.Recovered() {
+		b.Fatal("the inventory is not complete")
+	}
+	return m, now
+}
+
+// through takes one request from its submission to its answer.
+func through(b *testing.B, m *till.Machine, now time.Time, r order.Request) {
+	var bid order.BidMsg
+	var group order.GroupID
+	for _, c := range m.Handle(now, "gate0", order.SubmitMsg{}.WithPartition(testPartition).WithRequest(r)) {
+		post, ok := c.(till.PostCmd)
+		if !ok {
+			continue
+		}
+		if msg, ok := post.Msg().(order.BidMsg); ok {
+			bid, group = msg, post.Group()
+		}
+	}
+	id, attempt := bid.Task().ID(), bid.Attempt()
+	m.Handle(now, placerID, order.OfferMsg{}.WithTask(id).WithAttempt(attempt).WithGroup(group).WithEpoch(1))
+	m.Handle(now, placerID, order.StartedMsg{}.WithTask(id).WithAttempt(attempt).WithGroup(group))
+	answered := false
+	outcome := order.Outcome{}.WithTask(id).WithAttempt(attempt).WithCode(order.Done)
+	for _, c := range m.Handle(now, placerID, order.EndedMsg{}.WithGroup(group).WithOutcome(outcome).WithEpoch(1)) {
+		if send, ok := c.(till.SendCmd); ok {
+			a, ok := send.Msg().(order.AnswerMsg)
+			answered = ok && a.Code() == order.Done
+		}
+	}
+	if !answered {
+		b.Fatalf("%s has no answer", r.ID())
+	}
+}
+
+// BenchmarkThrough measures submit, bid, offer, confirm, start, end and answer
+// of attached idempotent requests in one partition.
+func BenchmarkThrough(b *testing.B) {
+	for _, groups := range []int{7, 1500} {
+		b.Run(fmt.Sprintf("groups=%d", groups), func(b *testing.B) {
+			m, now := benchMachine(b, groups)
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				now = now.Add(10 * time.Millisecond)
+				through(b, m, now, request(fmt.Sprint("r", i), order.Preview))
+				m.Tick(now)
+			}
+		})
+	}
+}
+
+// BenchmarkObserve measures the digests of 1,500 groups while 1,000 requests
+// wait.
+func BenchmarkObserve(b *testing.B) {
+	m, now := benchMachine(b, 1500)
+	for i := range 1000 {
+		m.Handle(now, "gate0", order.SubmitMsg{}.WithPartition(testPartition).WithRequest(request(fmt.Sprint("r", i), order.Batch)))
+	}
+	var digests []order.GroupDigest
+	var names []order.GroupID
+	for i := range 1500 {
+		g := &fakeGroup{id: order.NewGroupID(order.DomainName(fmt.Sprintf("d%d", i%30)), fmt.Sprint("r", i)), epoch: 1, slots: 8}
+		names = append(names, g.id)
+		digests = append(digests, g.digest())
+	}
+	o := till.NewObservation().
+		WithConfig(sheet.NewConfig(1).WithTeam(sheet.NewTeam(testTeam, 1, 1<<20))).
+		WithGroups(names).
+		WithDigests(digests)
+	b.ReportAllocs()
+	for b.Loop() {
+		m.Observe(now, o)
+	}
+}
--- a/till/conclude.go
+++ b/till/conclude.go
@@ -29,6 +29,10 @@
 		m.concludeGang(t, notStarted, a)
 		return
 	}
+	if t.outcome.Checkpointed() && !notStarted && !j.cancelled && !j.expired {
+		m.resume(t, a)
+		return
+	}
 	if m.retryable(t, notStarted) {
 		if wait, ok := m.retryWait(t, notStarted); ok {
 			m.sendAck(a)
@@ -42,6 +46,16 @@
 	m.concludeJob(j)
 }
 
+// resume places a task again that was checkpointed. Its next attempt goes on
+// where this one ended, so it is no second run.
+func (m *Machine) resume(t *task, a ack) {
+	m.registry.Count("till.resumed")
+	m.sendAck(a)
+	t.job.resumed++
+	t.state = taskWaiting
+	t.retryAt = m.now.Add(m.jitter(retryBase))
+}
+
 // codeOf returns the code of an ended task, which takes a cancellation or a
 // deadline into account.
 func (j *job) codeOf(t *task, notStarted bool) order.Code {
@@ -216,7 +230,7 @@
 		WithRequest(j.key.Request).
 		WithSequence(w.sequence)
 	if j.phase != phaseDone {
-		return a
+		return a.WithCode(order.Pending).WithText(order.Pending.Text())
 	}
 	o := j.outcome
 	return a.WithCode(o.Code()).
--- a/till/group_test.go
+++ b/till/group_test.go
@@ -246,7 +246,8 @@
 		WithCode(code).
 		WithBody(body).
 		WithLength(len(body)).
-		WithChecksum(xxhash.Sum64(body))
+		WithChecksum(xxhash.Sum64(body)).
+		WithCheckpointed(g.checkpoint)
 	g.ended(w, e)
 }
 
--- a/till/job.go
+++ b/till/job.go
@@ -52,9 +52,11 @@
 		acks      []ack
 
 		// confirms counts attempts whose confirmation was sent; unstarted
-		// counts those that the group reported as not started.
+		// counts those that the group reported as not started, and resumed
+		// those that ended with a checkpoint.
 		confirms  int
 		unstarted int
+		resumed   int
 
 		gang   gang
 		wakeAt time.Time
--- a/till/view.go
+++ b/till/view.go
@@ -1,6 +1,7 @@
 package till
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -25,6 +26,15 @@
 		known     map[order.GroupID]bool
 		placers   []order.MemberID
 		ownerless map[order.GroupID]time.Time
+		// whole tells that a digest of every known group has arrived.
+		whole bool
+		teams map[order.TeamName]teamView
+	}
+
+	// teamView is what a team may use of the cell.
+	teamView struct {
+		open    bool
+		largest []order.Resources
 	}
 
 	groupView struct {
@@ -101,6 +111,7 @@
 		groups:    make(map[order.GroupID]*groupView),
 		known:     make(map[order.GroupID]bool),
 		ownerless: make(map[order.GroupID]time.Time),
+		teams:     make(map[order.TeamName]teamView),
 	}
 }
 
@@ -129,6 +140,8 @@
 		*g = groupView{digest: digest, fresh: true}
 	}
 	v.rebuild()
+	v.whole = v.complete()
+	clear(v.teams)
 	return moved
 }
 
@@ -201,28 +214,44 @@
 
 // refusal returns why no group could ever hold the request, or Done.
 func (v *view) refusal(config *sheet.Config, r order.Request) order.Code {
-	if config == nil || !v.complete() {
+	if config == nil || !v.whole {
 		return order.Done
 	}
 	team, ok := config.Team(r.Team())
 	if !ok {
 		return order.Done
 	}
-	fits, open := false, false
-	for _, g := range v.list {
-		if !team.MayUse(g.digest.Domain()) {
+	seen := v.team(config, team)
+	for _, largest := range seen.largest {
+		if !fitsIn(r.Size(), largest) {
 			continue
 		}
-		open = open || config.DomainOpen(g.digest.Domain())
-		fits = fits || fitsIn(r.Size(), g.digest.Largest())
+		if !seen.open {
+			return order.NoDomain
+		}
+		return order.Done
 	}
-	switch {
-	case !fits:
-		return order.TooLarge
-	case !open:
-		return order.NoDomain
+	return order.TooLarge
+}
+
+// team returns what the team may use. It is kept until the next digests.
+func (v *view) team(config *sheet.Config, team sheet.Team) teamView {
+	if seen, ok := v.teams[team.Name()]; ok {
+		return seen
+	}
+	var seen teamView
+	for _, g := range v.list {
+		domain := g.digest.Domain()
+		if !team.MayUse(domain) {
+			continue
+		}
+		seen.open = seen.open || config.DomainOpen(domain)
+		if !slices.Contains(seen.largest, g.digest.Largest()) {
+			seen.largest = append(seen.largest, g.digest.Largest())
+		}
 	}
-	return order.Done
+	v.teams[team.Name()] = seen
+	return seen
 }
 
 func fitsIn(size, room order.Resources) bool {
--- a/till/world_test.go
+++ b/till/world_test.go
@@ -93,15 +93,16 @@
 	}
 
 	fakeGroup struct {
-		id      order.GroupID
-		epoch   order.Epoch
-		slots   int
-		owned   bool
-		bids    []order.BidMsg
-		entries map[order.TaskID]*fakeEntry
-		settled map[string]bool
-		runTime func(order.Task) (time.Duration, order.Code)
-		refuse  bool
+		id         order.GroupID
+		epoch      order.Epoch
+		slots      int
+		owned      bool
+		bids       []order.BidMsg
+		entries    map[order.TaskID]*fakeEntry
+		settled    map[string]bool
+		runTime    func(order.Task) (time.Duration, order.Code)
+		refuse     bool
+		checkpoint bool
 	}
 
 	fakeEntry struct {
--- a/tonnage/machine.go
+++ b/tonnage/machine.go
@@ -214,7 +214,8 @@
 	switch {
 	case t.phase == phaseIdle && msg.Version() == t.record.Version:
 		m.settleGroup(t, msg)
-		return m.tick()
+		m.tickTeam(t)
+		return m.commands
 	case t.phase == phaseIdle && msg.Version() > t.record.Version:
 		// The group was lowered by a division that was not written. It takes
 		// only a later version.
@@ -228,17 +229,25 @@
 		// What is in force stays recorded, even if more runs than was asked.
 		t.lowered[msg.Group()] = min(max(msg.Count(), target), t.record.Groups[msg.Group()])
 		delete(t.lowering, msg.Group())
-		return m.tick()
+		m.tickTeam(t)
+		return m.commands
 	}
 	return nil
 }
 
 // settleGroup notes that a group knows the record, and what it uses above it.
 func (m *Machine) settleGroup(t *team, msg order.AllotAckMsg) {
+	if g, ok := m.groups[msg.Group()]; ok && msg.Epoch() != 0 && msg.Epoch() < g.digest.Epoch() {
+		// A former owner of the group speaks; the present one may use more.
+		return
+	}
 	delete(t.unsent, msg.Group())
 	delete(t.unsettled, msg.Group())
-	if above := msg.Count() - t.record.Groups[msg.Group()]; above > 0 {
+	switch above := msg.Count() - t.record.Groups[msg.Group()]; {
+	case above > 0:
 		t.unsettled[msg.Group()] = above
+	case above < 0:
+		t.unsent[msg.Group()] = true
 	}
 	if t.raising && len(t.unsettled) == 0 {
 		t.nextAt = m.now
@@ -274,8 +283,9 @@
 	for id := range t.record.Groups {
 		t.unsettled[id] = unknownUse
 	}
-	m.enterIdle(t)
-	return m.tick()
+	m.enterIdle(t, make(map[order.GroupID]bool))
+	m.tickTeam(t)
+	return m.commands
 }
 
 // Written takes the answer to a WriteCmd. Unless it is certain, the record is
@@ -298,13 +308,15 @@
 		return nil
 	}
 	m.noteLowered(t)
+	unsent := t.changed()
 	t.record = t.writing
 	t.rewrite = false
 	t.version = version
 	t.backoff = 0
 	m.registry.Count("tonnage.written")
-	m.enterIdle(t)
-	return m.tick()
+	m.enterIdle(t, unsent)
+	m.tickTeam(t)
+	return m.commands
 }
 
 // noteLowered reserves what a group had before a decrease that is written now.
@@ -335,15 +347,24 @@
 	return sum, true
 }
 
-// enterIdle sends the record to all groups in it. A group that has it already
-// only acknowledges it.
-func (m *Machine) enterIdle(t *team) {
+// changed returns the groups that the written record changes for. All groups
+// need to know another limit, and a version above one that was not written.
+func (t *team) changed() map[order.GroupID]bool {
+	all := t.rewrite || t.record.Limit != t.writing.Limit
+	changed := make(map[order.GroupID]bool)
+	for id, n := range t.writing.Groups {
+		if all || n != t.record.Groups[id] {
+			changed[id] = true
+		}
+	}
+	return changed
+}
+
+// enterIdle lets the record be sent to the groups that do not know it.
+func (m *Machine) enterIdle(t *team, unsent map[order.GroupID]bool) {
 	t.phase = phaseIdle
 	t.resendAt = m.now
-	t.unsent = make(map[order.GroupID]bool)
-	for id := range t.record.Groups {
-		t.unsent[id] = true
-	}
+	t.unsent = unsent
 	for id := range t.unsettled {
 		t.unsent[id] = true
 	}
@@ -500,6 +521,9 @@
 func (m *Machine) newLimit(t *team, sum int) int { return max(m.limit(t), sum) }
 
 func (m *Machine) write(t *team, demands []demand, counts []int) {
+	// The version is above that of the decrease, so that a late message of the
+	// decrease does not undo what is sent after the write.
+	t.next++
 	next := record{Version: t.next, Groups: make(map[order.GroupID]int)}
 	for i, d := range demands {
 		if counts[i] > 0 || d.recorded > 0 && !m.gone(d.group) {
