--- a/till/group_test.go
+++ b/till/group_test.go
@@ -239,6 +239,9 @@
 	body := []byte(nil)
 	if code == order.Done {
 		body = []byte("result of " + string(e.task.ID()))
+		if g.body != nil {
+			body = g.body
+		}
 	}
 	e.outcome = order.Outcome{}.
 		WithTask(e.task.ID()).
@@ -248,9 +251,21 @@
 		WithLength(len(body)).
 		WithChecksum(xxhash.Sum64(body)).
 		WithCheckpointed(g.checkpoint)
+	if g.short {
+		e.outcome = e.outcome.WithBody(body[:len(body)/2])
+	}
 	g.ended(w, e)
 }
 
+// repair lets the group send its results whole.
+func (g *fakeGroup) repair() {
+	for id, e := range g.entries {
+		if body := []byte("result of " + string(id)); e.outcome.Length() == len(body) {
+			e.outcome = e.outcome.WithBody(body)
+		}
+	}
+}
+
 func (g *fakeGroup) ended(w *world, e *fakeEntry) {
 	e.repost = w.now().Add(fakeRepost)
 	g.post(w, order.EndedMsg{}.WithPartition(testPartition).WithGroup(g.id).WithOutcome(e.outcome).WithEpoch(g.epoch))
--- /dev/null
+++ b/till/queue_test.go
@@ -0,0 +1,194 @@
+package till_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+	"go.uber.org/goleak"
+
+	"chervilhollow/depot"
+	"chervilhollow/gauge"
+	"chervilhollow/logbook"
+	"chervilhollow/order"
+	"chervilhollow/sheet"
+	"chervilhollow/tide"
+	"chervilhollow/till"
+)
+
+type (
+	// guard is the time for which the owner may act.
+	guard struct{ left atomic.Int64 }
+
+	// peers answers the messages of a running queue as one group and as the
+	// gates.
+	peers struct {
+		queue    atomic.Pointer[till.Queue]
+		group    order.GroupID
+		confirms atomic.Int64
+
+		mu      sync.Mutex
+		answers map[uint64]order.AnswerMsg
+		changed chan struct{}
+	}
+)
+
+func (g *guard) Remaining() time.Duration { return time.Duration(g.left.Load()) }
+
+// Send implements order.Sender.
+func (p *peers) Send(_ order.MemberID, m order.Msg) error {
+	switch m := m.(type) {
+	case order.InventoryMsg:
+		p.queue.Load().Handle(placerID, order.InventoryReplyMsg{}.
+			WithPartition(m.Partition()).
+			WithEpoch(m.Epoch()).
+			WithGroups([]order.GroupID{p.group}))
+	case order.AnswerMsg:
+		p.mu.Lock()
+		p.answers[m.Sequence()] = m
+		p.mu.Unlock()
+		p.changed <- struct{}{}
+	}
+	return nil
+}
+
+// Post implements order.Poster.
+func (p *peers) Post(_ order.PartitionID, m order.Msg) error {
+	queue := p.queue.Load()
+	switch m := m.(type) {
+	case order.BidMsg:
+		queue.Handle(placerID, order.OfferMsg{}.WithTask(m.Task().ID()).WithAttempt(m.Attempt()).WithGroup(p.group).WithEpoch(1).WithHold(time.Second))
+	case order.ConfirmMsg:
+		p.confirms.Add(1)
+		queue.Handle(placerID, order.StartedMsg{}.WithTask(m.Task()).WithAttempt(m.Attempt()).WithGroup(p.group))
+		outcome := order.Outcome{}.WithTask(m.Task()).WithAttempt(m.Attempt()).WithCode(order.Done)
+		queue.Handle(placerID, order.EndedMsg{}.WithGroup(p.group).WithOutcome(outcome).WithEpoch(1))
+	}
+	return nil
+}
+
+func (p *peers) answer(t *testing.T, sequence uint64) order.AnswerMsg {
+	t.Helper()
+	timeout := time.After(10 * time.Second)
+	for {
+		p.mu.Lock()
+		a, ok := p.answers[sequence]
+		p.mu.Unlock()
+		if ok {
+			return a
+		}
+		select {
+		case <-p.changed:
+		case <-timeout:
+			t.Fatalf("no answer to %d", sequence)
+		}
+	}
+}
+
+type running struct {
+	queue   *till.Queue
+	peers   *peers
+	guard   *guard
+	store   *depot.Memory
+	journal *logbook.Journal
+	ended   chan error
+}
+
+func start(t *testing.T) *running {
+	t.Helper()
+	clock := tide.New()
+	r := &running{
+		peers: &peers{group: "d0/r00", answers: make(map[uint64]order.AnswerMsg), changed: make(chan struct{}, 1000)},
+		guard: &guard{},
+		store: depot.NewMemory(clock),
+		ended: make(chan error, 1),
+	}
+	r.guard.left.Store(int64(time.Hour))
+	registry := gauge.New(zerolog.Nop())
+	registry.SetStrict(true)
+	journal, records, err := logbook.Open(context.Background(), testPartition, 1, r.store, clock, r.guard)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.journal = journal
+	g := &fakeGroup{id: r.peers.group, epoch: 1, slots: 100}
+	config := sheet.NewConfig(1).WithTeam(sheet.NewTeam(testTeam, 1, 100))
+	r.queue = till.New(testPartition, 1, till.NewDeps().
+		WithClock(clock).
+		WithRegistry(registry).
+		WithGuard(r.guard).
+		WithPoster(r.peers).
+		WithSender(r.peers).
+		WithJournal(journal, records).
+		WithConfig(func() *sheet.Config { return config }).
+		WithDigests(func() []order.GroupDigest { return []order.GroupDigest{g.digest()} }).
+		WithGroups(func() []order.GroupID { return []order.GroupID{g.id} }).
+		WithPlacers(func() []order.MemberID { return []order.MemberID{placerID} }).
+		WithOwned(func(order.GroupID) bool { return true }))
+	r.peers.queue.Store(r.queue)
+	go func() { r.ended <- r.queue.Run(context.Background()) }()
+	return r
+}
+
+func (r *running) submit(sequence uint64, request order.Request) {
+	r.queue.Handle("gate0", order.SubmitMsg{}.WithPartition(testPartition).WithRequest(request).WithSequence(sequence))
+}
+
+func (r *running) close() {
+	r.queue.Close()
+	r.journal.Close()
+}
+
+// Guards against a queue whose goroutine does not carry requests from the
+// submission to the answer through the journal, and one that Close leaves.
+func TestQueueRuns(t *testing.T) {
+	// The library of the meters keeps one goroutine for the process.
+	defer goleak.VerifyNone(t, goleak.IgnoreTopFunction("github.com/rcrowley/go-metrics.(*meterArbiter).tick"))
+	is := is.New(t)
+	r := start(t)
+	for i := range 200 {
+		r.submit(uint64(i+1), request(fmt.Sprint("r", i), order.Batch).WithIdempotent(i%2 == 0))
+	}
+	for i := range 200 {
+		is.Equal(r.peers.answer(t, uint64(i+1)).Code(), order.Done)
+	}
+	is.Equal(r.peers.confirms.Load(), int64(200))
+	r.close()
+	is.NoErr(<-r.ended)
+}
+
+// Guards against a confirmation or an answer of an owner whose promise ended.
+func TestQueueStopsWithoutGuard(t *testing.T) {
+	is := is.New(t)
+	r := start(t)
+	defer r.close()
+	r.submit(1, request("a", order.Batch))
+	is.Equal(r.peers.answer(t, 1).Code(), order.Done)
+	r.guard.left.Store(0)
+	r.submit(2, request("b", order.Batch))
+	r.submit(3, request("c", 9))
+	time.Sleep(300 * time.Millisecond)
+	is.Equal(r.peers.confirms.Load(), int64(1))
+	r.peers.mu.Lock()
+	defer r.peers.mu.Unlock()
+	is.Equal(len(r.peers.answers), 1)
+}
+
+// Guards against a queue that goes on after another owner wrote the journal.
+func TestQueueEndsWhenFenced(t *testing.T) {
+	is := is.New(t)
+	r := start(t)
+	defer r.close()
+	next, _, err := logbook.Open(context.Background(), testPartition, 2, r.store, tide.New(), r.guard)
+	is.NoErr(err)
+	defer next.Close()
+	r.submit(1, request("a", order.Batch).WithIdempotent(false))
+	is.True(errors.Is(<-r.ended, logbook.ErrFenced))
+	is.Equal(r.peers.confirms.Load(), int64(0))
+}
--- a/till/world_test.go
+++ b/till/world_test.go
@@ -103,6 +103,8 @@
 		runTime    func(order.Task) (time.Duration, order.Code)
 		refuse     bool
 		checkpoint bool
+		body       []byte
+		short      bool
 	}
 
 	fakeEntry struct {
--- /dev/null
+++ b/tonnage/divider_test.go
@@ -0,0 +1,88 @@
+package tonnage_test
+
+import (
+	"context"
+	"encoding/json"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+	"go.uber.org/goleak"
+
+	"chervilhollow/depot"
+	"chervilhollow/gauge"
+	"chervilhollow/order"
+	"chervilhollow/sheet"
+	"chervilhollow/tide"
+	"chervilhollow/tonnage"
+)
+
+type always struct{}
+
+func (always) Remaining() time.Duration { return time.Hour }
+
+// echo acknowledges each allotment.
+type echo struct {
+	divider atomic.Pointer[tonnage.Divider]
+}
+
+func (e *echo) Post(partition order.PartitionID, m order.Msg) error {
+	allot, ok := m.(order.AllotMsg)
+	group, isGroup := partition.Group()
+	if ok && isGroup {
+		e.divider.Load().Handle("placer", order.AllotAckMsg{}.
+			WithTeam(allot.Team()).
+			WithGroup(group).
+			WithCount(allot.Count()).
+			WithVersion(allot.Version()))
+	}
+	return nil
+}
+
+// Guards against a divider that never writes, that a store outage stops for
+// ever, or that leaves a goroutine after Close.
+func TestDividerRuns(t *testing.T) {
+	// The library of the meters keeps one goroutine for the process.
+	defer goleak.VerifyNone(t, goleak.IgnoreTopFunction("github.com/rcrowley/go-metrics.(*meterArbiter).tick"))
+	is := is.New(t)
+	clock := tide.New()
+	store := depot.NewMemory(clock)
+	store.SetOutage(true)
+	config := sheet.NewConfig(1).WithTeam(sheet.NewTeam(team, 1, 12))
+	groups := []order.GroupID{"d0/a", "d1/b", "d2/c"}
+	digests := make([]order.GroupDigest, 0, len(groups))
+	for _, id := range groups {
+		digests = append(digests, order.GroupDigest{}.WithGroup(id).WithDomain(id.Domain()).WithEpoch(1).WithSlots(8))
+	}
+	e := &echo{}
+	d := tonnage.New(order.QuotaPartition(team), 1, store, tonnage.NewDeps().
+		WithClock(clock).
+		WithRegistry(gauge.New(zerolog.Nop())).
+		WithGuard(always{}).
+		WithPoster(e).
+		WithConfig(func() *sheet.Config { return config }).
+		WithDigests(func() []order.GroupDigest { return digests }).
+		WithGroups(func() []order.GroupID { return groups }).
+		WithOwned(func(order.GroupID) bool { return true }))
+	e.divider.Store(d)
+	ended := make(chan error, 1)
+	go func() { ended <- d.Run(context.Background()) }()
+	time.Sleep(300 * time.Millisecond)
+	store.SetOutage(false)
+	var r storedRecord
+	for range 100 {
+		entry, err := store.Get(context.Background(), tonnage.Key(team))
+		is.NoErr(err)
+		if entry.Exists() {
+			is.NoErr(json.Unmarshal(entry.Value(), &r))
+			break
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	is.Equal(r.sum(), 12)
+	is.Equal(len(r.Groups), 3)
+	d.Close()
+	is.NoErr(<-ended)
+}
