--- a/till/attempt.go
+++ b/till/attempt.go
@@ -197,7 +197,7 @@
 		return
 	}
 	if !m.recovery.complete {
-		if t != nil && !t.open() && t.job.phase == phaseRecovering {
+		if t != nil && !t.open() && t.job.phase == phaseRecovering && msg.Attempt() > t.over {
 			m.adopt(t, msg.Attempt(), msg.Group(), taskRunning, msg.Worker())
 			m.settle(t.job)
 		}
@@ -316,6 +316,7 @@
 		return
 	}
 	t.state = taskEnded
+	t.over = t.attempt
 	t.stopping = false
 	t.silentAt = time.Time{}
 	t.unstarted = notStarted
@@ -338,10 +339,10 @@
 func (m *Machine) endOther(t *task, o order.Outcome, notStarted bool, a ack) {
 	j := t.job
 	switch {
-	case j.phase == phaseRecovering && !notStarted:
+	case j.phase == phaseRecovering && !notStarted && o.Attempt() > t.over:
 		m.adopt(t, o.Attempt(), a.group, taskRunning, o.Worker())
 		m.endAttempt(t, o, false, a)
-	case !m.recovery.complete && j.phase == phaseRecovering:
+	case !m.recovery.complete && j.phase == phaseRecovering && o.Attempt() > t.over:
 		// The inventory decides.
 	case j.waitsForAck(a):
 		// It is acknowledged once the journal holds the outcome.
--- a/till/job.go
+++ b/till/job.go
@@ -72,10 +72,12 @@
 		state    taskState
 		bids     []bid
 		renewals int
-		attempt  order.Attempt
-		group    order.GroupID
-		epoch    order.Epoch
-		worker   order.WorkerID
+		// over is the last attempt that ended.
+		over    order.Attempt
+		attempt order.Attempt
+		group   order.GroupID
+		epoch   order.Epoch
+		worker  order.WorkerID
 		// until ends the hold of an offer.
 		until    time.Time
 		resendAt time.Time
--- a/till/random_test.go
+++ b/till/random_test.go
@@ -161,7 +161,7 @@
 	for _, r := range a.requests {
 		answer, ok := w.gates["gate1"].finals[r.ID()]
 		if !ok {
-			t.Fatalf("%s %s has no answer\n%s", r.Kind(), r.ID(), w.machine.Dump())
+			t.Fatalf("%s %s has no answer\n%s%s", r.Kind(), r.ID(), w.machine.Dump(), w.about(r.ID()))
 		}
 		if answer.Code() == order.Internal || answer.Code() == order.UnknownRequest {
 			t.Fatalf("%s %s is answered %s", r.Kind(), r.ID(), answer.Code())
--- a/till/recover.go
+++ b/till/recover.go
@@ -78,15 +78,13 @@
 
 // inventory takes the answer of one placer.
 func (m *Machine) inventory(msg order.InventoryReplyMsg) {
-	if msg.Epoch() != m.epoch {
+	if msg.Epoch() != m.epoch || m.recovery.complete {
+		// Later answers may list what has ended meanwhile.
 		return
 	}
 	for _, entry := range msg.Entries() {
 		m.inventoryEntry(entry)
 	}
-	if m.recovery.complete {
-		return
-	}
 	for _, group := range msg.Groups() {
 		m.recovery.covered[group] = true
 	}
@@ -98,12 +96,8 @@
 		// It was confirmed by nobody; the group drops it with its hold.
 		return
 	}
-	if entry.State() == order.TaskEnded && m.recovery.complete {
-		m.inventoryEnded(entry)
-		return
-	}
 	t := m.adoptable(entry)
-	if t == nil {
+	if t == nil || entry.Attempt() <= t.over {
 		return
 	}
 	j := t.job
@@ -120,10 +114,8 @@
 	case t.open():
 		m.stopOther(order.InventoryEntry{}.WithTask(entry.Task()).WithAttempt(t.attempt).WithGroup(t.group))
 		m.adopt(t, entry.Attempt(), entry.Group(), state, "")
-	case !m.recovery.complete || j.adopted && j.confirms == 0:
-		m.adopt(t, entry.Attempt(), entry.Group(), state, "")
 	default:
-		m.stopOther(entry)
+		m.adopt(t, entry.Attempt(), entry.Group(), state, "")
 	}
 	m.settle(j)
 }
@@ -182,9 +174,6 @@
 	j := m.newJob(key, r, 0)
 	j.adopted = true
 	j.phase = phaseRecovering
-	if m.recovery.complete {
-		j.phase = phaseOpen
-	}
 	m.open++
 	m.perTeam[key.Team]++
 	return j
--- a/till/till_test.go
+++ b/till/till_test.go
@@ -307,3 +307,30 @@
 	w.run(time.Second)
 	is.Equal(len(w.gates["gate0"].finals), 4)
 }
+
+// Guards against an inventory that was taken before the end of an attempt, and
+// arrives after it: the attempt must not count as running again.
+func TestLateInventory(t *testing.T) {
+	w := settled(t, 3, 2)
+	for _, g := range w.groups {
+		g.runTime = func(order.Task) (time.Duration, order.Code) { return time.Second, order.Done }
+	}
+	r := request("a", order.Batch).WithDetached(true)
+	w.submit("gate0", r)
+	w.run(500 * time.Millisecond)
+	w.takeOver()
+	late := w.inventoryReply(order.InventoryMsg{}.WithPartition(testPartition).WithEpoch(w.epoch))
+	for _, g := range w.groups {
+		g.loseWorker(w)
+		g.owned = false // no inventory of its own before the late one
+	}
+	w.run(50 * time.Millisecond)
+	w.execute(w.machine.Handle(w.now(), placerID, late))
+	for _, g := range w.groups {
+		g.owned = true
+	}
+	w.run(5 * time.Second)
+	s := w.follow("gate1", "a")
+	w.run(time.Second)
+	expect(t, w, "gate1", s, order.Done)
+}
--- a/till/world_test.go
+++ b/till/world_test.go
@@ -176,6 +176,18 @@
 	return strings.Join(w.history[max(0, len(w.history)-lines):], "\n")
 }
 
+// about returns the history of one request and of the owners.
+func (w *world) about(id order.RequestID) string {
+	var b strings.Builder
+	for _, line := range w.history {
+		if strings.Contains(line, string("/"+id+"/")) || strings.Contains(line, string(" "+id+" ")) ||
+			strings.Contains(line, "owner") || strings.Contains(line, "vanishes") {
+			b.WriteString(line + "\n")
+		}
+	}
+	return b.String()
+}
+
 func (w *world) now() time.Time { return w.clock.Now() }
 
 // takeOver replaces the owner of the partition by one that knows only the
@@ -461,6 +473,10 @@
 }
 
 func (w *world) answerInventory(m order.InventoryMsg) {
+	w.transmit(packet{from: placerID, msg: w.inventoryReply(m)})
+}
+
+func (w *world) inventoryReply(m order.InventoryMsg) order.InventoryReplyMsg {
 	reply := order.InventoryReplyMsg{}.WithPartition(m.Partition()).WithEpoch(m.Epoch())
 	var (
 		groups  []order.GroupID
@@ -474,7 +490,7 @@
 		groups = append(groups, id)
 		entries = append(entries, g.inventory()...)
 	}
-	w.transmit(packet{from: placerID, msg: reply.WithGroups(groups).WithEntries(entries)})
+	return reply.WithGroups(groups).WithEntries(entries)
 }
 
 func (w *world) nextSequence() uint64 {
