--- a/till/job.go
+++ b/till/job.go
@@ -52,9 +52,11 @@
 		acks      []ack
 
 		// confirms counts attempts whose confirmation was sent; unstarted
-		// counts those that the group reported as not started.
+		// counts those that the group reported as not started, and resumed
+		// those that ended with a checkpoint.
 		confirms  int
 		unstarted int
+		resumed   int
 
 		gang   gang
 		wakeAt time.Time
@@ -70,10 +72,12 @@
 		state    taskState
 		bids     []bid
 		renewals int
-		attempt  order.Attempt
-		group    order.GroupID
-		epoch    order.Epoch
-		worker   order.WorkerID
+		// over is the last attempt that ended.
+		over    order.Attempt
+		attempt order.Attempt
+		group   order.GroupID
+		epoch   order.Epoch
+		worker  order.WorkerID
 		// until ends the hold of an offer.
 		until    time.Time
 		resendAt time.Time
