--- a/Makefile
+++ b/Makefile
@@ -23,3 +23,7 @@
 
 try: build
 	scripts/try.sh
+
+measure: build
+	scripts/measure.sh tagline
+	scripts/measure.sh sandfjord
--- a/cmd/load/mix.go
+++ b/cmd/load/mix.go
@@ -17,6 +17,7 @@
 		Duration chart.Duration `json:"duration" help:"how long requests are offered"`
 		Drain    chart.Duration `json:"drain" help:"how long answers are awaited after the offered time"`
 		Gates    []string       `json:"gates" help:"URLs of the gates, used in turn"`
+		Delay    chart.Duration `json:"delay" help:"one-way delay between callers and gates, added to each call in both directions"`
 		InFlight int            `json:"in_flight" help:"requests that may be open at once"`
 		Resend   bool           `json:"resend" help:"send again to the next gate after a cut call or a code that allows it"`
 		Teams    []teamDocument `json:"teams" help:"teams that send"`
--- a/cmd/load/sender.go
+++ b/cmd/load/sender.go
@@ -216,12 +216,14 @@
 	// The transport would send a request again on its own after a broken
 	// connection if it had a way to; each repetition must be counted here.
 	r.GetBody = nil
+	s.travel(ctx)
 	response, err := s.client.Do(r)
 	if err != nil {
 		return answerDocument{}, err
 	}
 	defer response.Body.Close()
 	data, err := io.ReadAll(io.LimitReader(response.Body, maxAnswer))
+	s.travel(ctx)
 	if err != nil {
 		return answerDocument{}, fmt.Errorf("answer cut: %w", err)
 	}
@@ -232,6 +234,17 @@
 	return answer, nil
 }
 
+// travel waits for the one-way delay of the mix.
+func (s *sender) travel(ctx context.Context) {
+	if s.mix.Delay <= 0 {
+		return
+	}
+	select {
+	case <-s.clock.After(time.Duration(s.mix.Delay)):
+	case <-ctx.Done():
+	}
+}
+
 // check compares the answer with the request: an answer that names another
 // request or carries another result was mixed up, and an ID that is answered
 // for two requests was answered twice.
--- /dev/null
+++ b/cmd/measure/measure_test.go
@@ -0,0 +1,115 @@
+package main
+
+import (
+	"math"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"chervilhollow/order"
+	"chervilhollow/sample"
+)
+
+func near(a, b float64) bool { return math.Abs(a-b) < 1e-9 }
+
+func readingWith(at time.Time, running map[order.TeamName]int) reading {
+	r := reading{at: at, totals: sample.WorkerTotals{Slots: 100, MilliCores: 100000, MemoryMB: 100, Teams: make(map[order.TeamName]sample.TeamTotals)}}
+	for team, n := range running {
+		r.totals.Teams[team] = sample.TeamTotals{Running: n, MilliCores: order.MilliCores(n * 1000), Started: n, Done: n}
+	}
+	return r
+}
+
+// Guards against a distance that blames the system for a team's low demand or
+// its limit.
+func TestEntitlement(t *testing.T) {
+	is := is.New(t)
+	shares := map[string]teamShare{
+		"big": {share: 2, limit: 100}, "small": {share: 1, limit: 100},
+		"idle": {share: 3, limit: 100}, "limited": {share: 4, limit: 10},
+	}
+	demands := map[string]demand{"big": {tasks: 90}, "small": {tasks: 90}, "idle": {tasks: 10}, "limited": {tasks: 90}}
+	r := readingWith(time.Now(), map[order.TeamName]int{"big": 50, "small": 30, "idle": 10, "limited": 10})
+	entitled := measures[0].entitled(r, shares, demands)
+	is.True(near(entitled["idle"], 0.1))
+	is.True(near(entitled["limited"], 0.1))
+	is.True(near(entitled["big"], 0.8*2/3))
+	is.True(near(entitled["small"], 0.8/3))
+}
+
+// Guards against samples of an unfilled cell that count as fair or unfair.
+func TestDistanceOnlyWhileFull(t *testing.T) {
+	is := is.New(t)
+	shares := map[string]teamShare{"a": {share: 1, limit: 100}, "b": {share: 1, limit: 100}}
+	demands := map[string]demand{"a": {tasks: 200}, "b": {tasks: 200}}
+	now := time.Now()
+	p := phase{name: "overload", readings: []reading{
+		readingWith(now, map[order.TeamName]int{"a": 10}),
+		readingWith(now, map[order.TeamName]int{"a": 60, "b": 40}),
+	}}
+	list := p.distances(measures[0], 0.95, shares, demands)
+	is.Equal(len(list), 2)
+	is.Equal(list[0].samples, 1)
+	is.True(near(list[0].relative(), 0.2))
+	is.True(near(list[1].relative(), -0.2))
+	is.True(near(list[1].worst, 0.1))
+}
+
+// Guards against samples that count in a phase to which they do not belong.
+func TestSplit(t *testing.T) {
+	is := is.New(t)
+	begin := time.Unix(100, 0)
+	var readings []reading
+	for i := range 10 {
+		readings = append(readings, readingWith(begin.Add(time.Duration(i)*time.Second), map[order.TeamName]int{"a": 3 * i}))
+	}
+	file := filepath.Join(t.TempDir(), "marks")
+	is.NoErr(os.WriteFile(file, []byte("101000000000 first\n104000000000 -\n106000000000 domain out\n"), 0o600))
+	marks, err := readMarks(file)
+	is.NoErr(err)
+	phases := split(readings, marks)
+	is.Equal(len(phases), 2)
+	is.Equal(phases[0].name, "first")
+	is.Equal(len(phases[0].readings), 3)
+	is.Equal(phases[1].name, "domain out")
+	is.Equal(len(phases[1].readings), 4)
+	is.True(near(phases[0].doneRate(), 3))
+}
+
+// Guards against a cost report that reads the wrong field of /proc.
+func TestUsageOfOwnProcess(t *testing.T) {
+	is := is.New(t)
+	deadline := time.Now().Add(300 * time.Millisecond)
+	for time.Now().Before(deadline) {
+		_ = math.Sqrt(2)
+	}
+	cpu, bytes, err := usageOf(os.Getpid())
+	is.NoErr(err)
+	is.True(cpu > 50*time.Millisecond && cpu < time.Minute)
+	is.True(bytes > 1<<20 && bytes < 1<<32)
+}
+
+// Guards against example mixes whose demand cannot be read, or whose teams
+// the sheet does not know.
+func TestExampleMixes(t *testing.T) {
+	for _, deployment := range []string{"tagline", "sandfjord"} {
+		t.Run(deployment, func(t *testing.T) {
+			is := is.New(t)
+			dir := filepath.Join("..", "..", "examples", deployment)
+			shares, err := readShares(filepath.Join(dir, "sheet.csv"))
+			is.NoErr(err)
+			for _, mix := range []string{"load.json", "overload.json", "domain.json"} {
+				demands, err := readDemands(filepath.Join(dir, mix))
+				is.NoErr(err)
+				is.True(len(demands) > 0)
+				for team, d := range demands {
+					is.True(shares[team].share > 0)
+					is.True(d.tasks > 0)
+				}
+			}
+		})
+	}
+}
--- a/cmd/standin-worker/main.go
+++ b/cmd/standin-worker/main.go
@@ -30,7 +30,8 @@
    "crash": true, "slow_ms": 200, "drop_answers": true, "fenced": false}
 
 GET /audit tells which tasks ran more than once, in two places, or above the
-room of their worker; with ?all=1 it tells the runs of each task.
+room of their worker; with ?all=1 it tells the runs of each task. GET /totals
+tells the room of all workers and, per team, what runs and what ended.
 
 Flags:
 `
--- a/sample/worker_audit.go
+++ b/sample/worker_audit.go
@@ -20,6 +20,7 @@
 		concurrent []order.TaskID
 		aboveRoom  []order.TaskID
 		aboveUse   int
+		teams      map[order.TeamName]*teamCounts
 	}
 
 	// WorkerAudit is the report of the stand-in about all runs.
@@ -36,7 +37,11 @@
 )
 
 func newAudit() *audit {
-	return &audit{runs: make(map[order.TaskID]int), live: make(map[order.TaskID][]*run)}
+	return &audit{
+		runs:  make(map[order.TaskID]int),
+		live:  make(map[order.TaskID][]*run),
+		teams: make(map[order.TeamName]*teamCounts),
+	}
 }
 
 // Audit returns the report with the number of runs of each task.
@@ -49,6 +54,7 @@
 	id := r.start.Task
 	a.starts++
 	a.runs[id]++
+	a.team(id).started++
 	for _, other := range a.live[id] {
 		// A paused worker ends lapsed tasks when it wakes; the platform has
 		// ended them by then.
--- a/sample/worker_http.go
+++ b/sample/worker_http.go
@@ -50,6 +50,7 @@
 	}
 	mux.HandleFunc("POST /switch", s.serveSwitch)
 	mux.HandleFunc("GET /audit", s.serveAudit)
+	mux.HandleFunc("GET /totals", s.serveTotals)
 	return mux
 }
 
--- a/sample/workers.go
+++ b/sample/workers.go
@@ -235,6 +235,7 @@
 	}
 	delete(w.running, r.start.Task)
 	w.parent.audit.ended(w, r)
+	w.parent.audit.finished(r.start.Task, status)
 	w.sequence++
 	w.ended[r.start.Task] = newWorkerOutcome(r, w.sequence, status, now)
 	w.notify()
@@ -255,6 +256,7 @@
 		}
 		delete(w.running, id)
 		w.parent.audit.ended(w, r)
+		w.parent.audit.finished(id, statusLapsed)
 		w.sequence++
 		w.ended[id] = newWorkerOutcome(r, w.sequence, statusLapsed, now)
 		r.signal(statusLapsed)
@@ -270,6 +272,7 @@
 func (w *worker) crash() {
 	for _, r := range w.running {
 		w.parent.audit.ended(w, r)
+		w.parent.audit.finished(r.start.Task, statusCrashed)
 		r.signal(statusCrashed)
 	}
 	w.reset()
--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -5,13 +5,26 @@
 #   stop_cluster                     stops all gracefully, reports failures
 #
 # Logs go to out/DEPLOYMENT/. The process IDs are in the arrays gates, placers
-# and standins.
+# and standins. PORT_OFFSET, a multiple of 1000, is added to all ports, so that
+# several clusters can run on one machine.
 
 gates=()
 placers=()
 standins=()
 gate_urls=()
 
+# The thousands of all ports; the settings of the examples use 7000 to 7999.
+ports=$((7 + ${PORT_OFFSET:-0} / 1000))
+store_url=http://127.0.0.1:${ports}400
+hosts_url=http://127.0.0.1:${ports}500
+workers_url=http://127.0.0.1:${ports}600
+export CTL_STORE=$store_url CTL_HOSTS=$hosts_url
+
+# shift_ports: moves the addresses of a settings file by PORT_OFFSET.
+shift_ports() {
+	sed -e "s/127\.0\.0\.1:7\([0-9][0-9][0-9]\)/127.0.0.1:$ports\1/"
+}
+
 domains_of() {
 	sed -n 's/.*"domains": \[\(.*\)\],.*/\1/p' "examples/$1/hosts.json" | tr -d '", ' | tr '\n' ' '
 	sed -n 's/.*"domains": \[\(.*\)\],.*/\1/p' "examples/$1/hosts.json" | tr ',' '\n' | tr -d '" ' >"$out/domains"
@@ -21,7 +34,7 @@
 # ports 711x and 712x, host 2 721x and 722x, and so on.
 host_settings() {
 	sed -e "s/127\.0\.0\.1:71\([12]\)/127.0.0.1:7$2\1/" \
-		-e "s/\"failure_domain\": \"[^\"]*\"/\"failure_domain\": \"$3\"/" "$1"
+		-e "s/\"failure_domain\": \"[^\"]*\"/\"failure_domain\": \"$3\"/" "$1" | shift_ports
 }
 
 wait_for() {
@@ -35,15 +48,16 @@
 }
 
 start_standins() {
-	bin/standin-store -listen 127.0.0.1:7400 >"$out/store.log" 2>&1 &
+	shift_ports <"examples/$1/hosts.json" >"$out/hosts.json"
+	bin/standin-store -listen "127.0.0.1:${ports}400" >"$out/store.log" 2>&1 &
 	standins+=($!)
-	bin/standin-hosts -listen 127.0.0.1:7500 -file "examples/$1/hosts.json" >"$out/hosts.log" 2>&1 &
+	bin/standin-hosts -listen "127.0.0.1:${ports}500" -file "$out/hosts.json" >"$out/hosts.log" 2>&1 &
 	standins+=($!)
-	bin/standin-worker -listen 127.0.0.1:7600 -hosts "examples/$1/hosts.json" >"$out/workers.log" 2>&1 &
+	bin/standin-worker -listen "127.0.0.1:${ports}600" -hosts "$out/hosts.json" >"$out/workers.log" 2>&1 &
 	standins+=($!)
-	wait_for http://127.0.0.1:7400/calls 5
-	wait_for http://127.0.0.1:7500/v1/hosts 5
-	wait_for http://127.0.0.1:7600/audit 5
+	wait_for "$store_url/calls" 5
+	wait_for "$hosts_url/v1/hosts" 5
+	wait_for "$workers_url/audit" 5
 }
 
 start_gate() {
@@ -70,14 +84,14 @@
 		host_settings "examples/$deployment/placer.json" "$i" "$domain" >"$out/placer$i.json"
 		start_placer "$i"
 		start_gate "$i"
-		gate_urls+=("http://127.0.0.1:7${i}12")
+		gate_urls+=("http://127.0.0.1:${ports}${i}12")
 	done
 }
 
 wait_ready() {
 	for i in "${!gates[@]}"; do
-		wait_for "http://127.0.0.1:7${i}11/ready" 20
-		wait_for "http://127.0.0.1:7${i}21/ready" 20
+		wait_for "http://127.0.0.1:${ports}${i}11/ready" 20
+		wait_for "http://127.0.0.1:${ports}${i}21/ready" 20
 	done
 }
 
@@ -92,5 +106,6 @@
 	gates=()
 	placers=()
 	standins=()
+	gate_urls=()
 	return $failed
 }
--- a/scripts/try.sh
+++ b/scripts/try.sh
@@ -12,7 +12,7 @@
 bin/ctl import "examples/$deployment/sheet.csv"
 wait_ready
 echo "deployment $deployment is ready; sending orders"
-bin/load -mix "examples/$deployment/load.json" -csv "$out/load.csv"
+bin/load -mix "examples/$deployment/load.json" -gates "$(IFS=,; echo "${gate_urls[*]}")" -csv "$out/load.csv"
 bin/ctl members
 trap - EXIT
 stop_cluster
