Wire the placer's limits and add baselines of the placement policy

The new policy block switches the choice of the worker, the correction of declared sizes, the cooldown and the order of the teams, so that each can be compared with a baseline in the same binary. With one candidate group a bid stays where it is.

--- a/berth/berth.go
+++ b/berth/berth.go
@@ -45,6 +45,8 @@
 		permit    func() bool
 		elsewhere func(order.TeamName) float64
 		client    func(roster.Worker) Worker
+		policy    Policy
+		bidLimit  int
 	}
 )
 
@@ -86,6 +88,7 @@
 		log:       log,
 		permit:    func() bool { return true },
 		elsewhere: func(order.TeamName) float64 { return 0 },
+		bidLimit:  defaultBidLimit,
 		client: func(w roster.Worker) Worker {
 			return crane.NewClient(w.ID(), w.URL())
 		},
--- a/berth/cooldown.go
+++ b/berth/cooldown.go
@@ -127,6 +127,9 @@
 }
 
 func (m *machine) blame(now time.Time, h *host, at time.Time) {
+	if m.deps.policy.noCooldown {
+		return
+	}
 	if h.cooldown.length == 0 && h.cooldown.failed(now, at) {
 		m.startCooldown(now, h)
 	}
--- a/berth/learned.go
+++ b/berth/learned.go
@@ -72,7 +72,7 @@
 func (m *machine) expected(task order.Task) amount {
 	declared := newAmount(task.Size())
 	l, ok := m.learned[learnKey{task.Team(), task.Kind()}]
-	if !ok {
+	if !ok || m.deps.policy.declaredSizes {
 		return declared
 	}
 	corrected := amount{l.cores.apply(declared.cores), l.memory.apply(declared.memory), declared.accelerators}
--- a/berth/machine.go
+++ b/berth/machine.go
@@ -43,7 +43,7 @@
 	scratch  []*entry
 }
 
-const maxBids = 4096
+const defaultBidLimit = 4096
 
 func newMachine(group order.GroupID, epoch order.Epoch, deps Deps, now time.Time) *machine {
 	return &machine{
--- a/berth/placement.go
+++ b/berth/placement.go
@@ -70,7 +70,7 @@
 		return order.TooLarge, "no worker of the group can hold the task"
 	case !task.Deadline().IsZero() && !now.Before(task.Deadline()):
 		return order.DeadlineBeforeRun, "the deadline has passed"
-	case m.bids.len() >= maxBids:
+	case m.bids.len() >= m.deps.bidLimit:
 		return order.QueueFull, "too many waiting bids"
 	}
 	return order.Done, ""
@@ -191,6 +191,9 @@
 
 // Returns the use of a team relative to its share.
 func (m *machine) teamLoad(team order.TeamName) float64 {
+	if m.deps.policy.arrivalOrder {
+		return 0
+	}
 	t, ok := m.deps.config().Team(team)
 	if !ok || t.Share() <= 0 {
 		return 1e9
@@ -210,7 +213,7 @@
 		if h == except || !h.fits(size) || plain && h.size.accelerators > 0 || !m.usable(now, h, task.ID()) {
 			continue
 		}
-		left := m.leftover(h, size)
+		left := m.score(h, size)
 		if best == nil || left < score {
 			best, score = h, left
 		}
--- a/chart/chart.go
+++ b/chart/chart.go
@@ -61,7 +61,15 @@
 
 	placerWire struct {
 		commonWire
-		Limits placerLimit `json:"limits" help:"limits of the placer"`
+		Limits placerLimit  `json:"limits" help:"limits of the placer"`
+		Policy placerPolicy `json:"policy" help:"placement policy; the other values are baselines for measurements"`
+	}
+
+	placerPolicy struct {
+		WorkerChoice string `json:"worker_choice" help:"best_fit, or random"`
+		TeamOrder    string `json:"team_order" help:"share: the team furthest below its share first; or arrival"`
+		CorrectSizes bool   `json:"correct_sizes" help:"correct declared sizes by learned use"`
+		Cooldown     bool   `json:"cooldown" help:"keep work from workers that fail what runs elsewhere"`
 	}
 
 	placerLimit struct {
@@ -76,7 +84,14 @@
 	}
 )
 
-const longestDeadline = 7 * 24 * time.Hour
+const (
+	longestDeadline = 7 * 24 * time.Hour
+
+	bestFit      = "best_fit"
+	randomChoice = "random"
+	byShare      = "share"
+	byArrival    = "arrival"
+)
 
 func defaultCommon() commonWire { return commonWire{LogLevel: "info"} }
 
@@ -117,6 +132,7 @@
 			ResultRetention: Duration(24 * time.Hour),
 			StopTimeout:     Duration(30 * time.Second),
 		},
+		Policy: placerPolicy{WorkerChoice: bestFit, TeamOrder: byShare, CorrectSizes: true, Cooldown: true},
 	}
 }
 
@@ -140,6 +156,8 @@
 	c.common(w.commonWire)
 	c.Distinct(map[string]string{"admin_address": w.AdminAddress, "peer_address": w.PeerAddress})
 	c.placerLimits(w.Limits)
+	c.oneOf("policy.worker_choice", w.Policy.WorkerChoice, bestFit, randomChoice)
+	c.oneOf("policy.team_order", w.Policy.TeamOrder, byShare, byArrival)
 	return Placer{Common: Common{w: w.commonWire}, w: w}, c.Err()
 }
 
@@ -287,3 +305,17 @@
 
 // StopTimeout returns the time that handover gets at a planned stop.
 func (s Placer) StopTimeout() time.Duration { return time.Duration(s.w.Limits.StopTimeout) }
+
+// RandomWorker reports whether any worker with room is taken instead of the
+// best one.
+func (s Placer) RandomWorker() bool { return s.w.Policy.WorkerChoice == randomChoice }
+
+// ArrivalOrder reports whether shares are left out of the order of placement.
+func (s Placer) ArrivalOrder() bool { return s.w.Policy.TeamOrder == byArrival }
+
+// CorrectSizes reports whether declared sizes are corrected by learned use.
+func (s Placer) CorrectSizes() bool { return s.w.Policy.CorrectSizes }
+
+// Cooldown reports whether workers that fail what runs elsewhere get no work
+// for a time.
+func (s Placer) Cooldown() bool { return s.w.Policy.Cooldown }
--- a/chart/check.go
+++ b/chart/check.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/netip"
 	"net/url"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -174,6 +175,12 @@
 	}
 }
 
+func (c *Checker) oneOf(path, value string, known ...string) {
+	if !slices.Contains(known, value) {
+		c.Fault(path, "want one of %s, got %q", strings.Join(known, ", "), value)
+	}
+}
+
 func (c *Checker) atMost(path string, value, limit time.Duration) {
 	if value > limit {
 		c.Fault(path, "must be at most %s", limit)
--- a/cmd/measure/measure_test.go
+++ b/cmd/measure/measure_test.go
@@ -4,6 +4,7 @@
 	"math"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -92,6 +93,18 @@
 	is.True(bytes > 1<<20 && bytes < 1<<32)
 }
 
+// Guards against a waiting table that loses a kind, a team or a code.
+func TestWaiting(t *testing.T) {
+	is := is.New(t)
+	file := filepath.Join(t.TempDir(), "day.csv")
+	is.NoErr(os.WriteFile(file, []byte("kind,team,sent,waited_ms_p50,waited_ms_max,end_to_end_ms_p50,code_0,code_202\n"+
+		"batch,all,7,1.250,3.000,20.125,6,1\nbatch,toys,7,,,20.125,7,0\n"), 0o600))
+	var out strings.Builder
+	is.NoErr(printWaiting(&out, []string{"day=" + file}))
+	is.True(strings.Contains(out.String(), "| day | batch | all | 7 | 1.2, 3.0 | 20.1 | 0: 6, 202: 1 |"))
+	is.True(strings.Contains(out.String(), "| day | batch | toys | 7 | - | 20.1 | 0: 7 |"))
+}
+
 // Guards against example mixes whose demand cannot be read, or whose teams
 // the sheet does not know.
 func TestExampleMixes(t *testing.T) {
--- a/logbook/journal.go
+++ b/logbook/journal.go
@@ -19,11 +19,12 @@
 type (
 	// Journal runs a Log against the store.
 	Journal struct {
-		store    depot.Store
-		clock    tide.Clock
-		guard    order.Guard
-		registry *gauge.Registry
-		log      zerolog.Logger
+		store     depot.Store
+		clock     tide.Clock
+		guard     order.Guard
+		registry  *gauge.Registry
+		log       zerolog.Logger
+		retention time.Duration
 
 		mu      sync.Mutex
 		core    *Log
@@ -54,19 +55,23 @@
 // WithRegistry sets the registry of the counters.
 func WithRegistry(r *gauge.Registry) Option { return func(j *Journal) { j.registry = r } }
 
+// WithRetention sets how long outcomes stay in the journal.
+func WithRetention(d time.Duration) Option { return func(j *Journal) { j.retention = d } }
+
 // Open replays the journal of a partition and fences its earlier owners: it
 // writes a first segment of its own, after which a late write of an earlier
 // owner meets a conflict. It returns the newest record of each request.
 func Open(ctx context.Context, partition order.PartitionID, epoch order.Epoch, store depot.Store, clock tide.Clock, guard order.Guard, opts ...Option) (*Journal, []Record, error) {
 	j := &Journal{
-		store:    store,
-		clock:    clock,
-		guard:    guard,
-		registry: gauge.New(zerolog.Nop()),
-		log:      zerolog.Nop(),
-		waiting:  make(map[Token]func(error)),
-		kick:     make(chan struct{}, 1),
-		done:     make(chan struct{}),
+		store:     store,
+		clock:     clock,
+		guard:     guard,
+		registry:  gauge.New(zerolog.Nop()),
+		log:       zerolog.Nop(),
+		waiting:   make(map[Token]func(error)),
+		retention: Retention,
+		kick:      make(chan struct{}, 1),
+		done:      make(chan struct{}),
 	}
 	for _, opt := range opts {
 		opt(j)
@@ -75,6 +80,7 @@
 	if err != nil {
 		return nil, nil, fmt.Errorf("open journal of %s: %w", partition, err)
 	}
+	core.retention = j.retention
 	j.core = core
 	run, stop := context.WithCancel(context.WithoutCancel(ctx))
 	j.stop = stop
--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -96,10 +96,13 @@
 
 report() {
 	echo "== $1: ${HOSTS:-$domain_count} entry hosts, load average $(cut -d' ' -f1-3 /proc/loadavg)"
+	local reports=()
 	for part in ${PARTS:-day overload domain}; do
-		echo "-- $part"
-		cat "$out/$part.txt"
+		head -1 "$out/$part.txt"
+		reports+=(-waiting "$part=$out/$part.csv")
 	done
+	echo
+	bin/measure "${reports[@]}"
 	cat "$out/measure.txt"
 	echo "stand-in's audit: $(cat "$out/audit.json")"
 }
--- a/till/bid.go
+++ b/till/bid.go
@@ -30,8 +30,11 @@
 )
 
 const (
-	bidsPerTask = 2
-	maxBids     = 4
+	// defaultCandidates is the number of groups that a task bids at.
+	defaultCandidates = 2
+
+	// bidsPerCandidate bounds the bids that renewals add.
+	bidsPerCandidate = 2
 
 	// maxProbes bounds the groups that are looked at for one task.
 	maxProbes = 256
@@ -55,7 +58,7 @@
 	t.state = taskBidding
 	t.attempt = m.nextAttempt()
 	t.bids = t.bids[:0]
-	m.addBids(t, bidsPerTask)
+	m.addBids(t, m.candidates)
 	t.checkAt = m.now.Add(renewPeriod)
 }
 
@@ -86,11 +89,11 @@
 			m.sendBid(t, g)
 		}
 	}
-	if len(t.bids) >= maxBids {
+	if m.candidates > 1 && len(t.bids) >= bidsPerCandidate*m.candidates {
 		m.withdraw(t, t.bids[0].group)
 		t.bids = append(t.bids[:0], t.bids[1:]...)
 	}
-	m.addBids(t, max(bidsPerTask-len(t.bids), 1))
+	m.addBids(t, m.moreBids(t))
 }
 
 // repeatBids sends the bids again that went to an earlier owner of a group.
--- a/till/conclude.go
+++ b/till/conclude.go
@@ -228,7 +228,7 @@
 
 func (m *Machine) retentionOf(j *job) time.Duration {
 	if j.journaled() {
-		return logbook.Retention
+		return m.retention
 	}
 	return attachedRetention
 }
--- a/till/machine.go
+++ b/till/machine.go
@@ -51,6 +51,10 @@
 		recorder  Recorder
 		rand      *rand.Rand
 		limit     int
+		teamLimit int
+
+		candidates int
+		retention  time.Duration
 
 		now      time.Time
 		commands []Command
@@ -99,7 +103,7 @@
 	maxDeferred = 1024
 )
 
-// WithLimit sets how many requests may be open; one team may use half of it.
+// WithLimit sets how many requests may be open.
 func WithLimit(limit int) MachineOption { return func(m *Machine) { m.limit = limit } }
 
 // WithSeed seeds the random choices.
@@ -111,21 +115,23 @@
 // it starts with the records of the journal and needs an inventory.
 func NewMachine(now time.Time, partition order.PartitionID, epoch order.Epoch, recorder Recorder, registry *gauge.Registry, records []logbook.Record, opts ...MachineOption) *Machine {
 	m := &Machine{
-		partition: partition,
-		epoch:     epoch,
-		registry:  registry,
-		recorder:  recorder,
-		rand:      rand.New(rand.NewPCG(rand.Uint64(), uint64(epoch))),
-		limit:     defaultLimit,
-		now:       now,
-		jobs:      make(map[logbook.Key]*job),
-		perTeam:   make(map[order.TeamName]int),
-		backlog:   newBacklog(),
-		records:   make(map[logbook.Token]recorded),
-		holding:   make(map[logbook.Key]*job),
-		view:      newView(),
-		budget:    newBudget(now),
-		last:      order.Attempt(epoch) << attemptBits,
+		partition:  partition,
+		epoch:      epoch,
+		registry:   registry,
+		recorder:   recorder,
+		rand:       rand.New(rand.NewPCG(rand.Uint64(), uint64(epoch))),
+		limit:      defaultLimit,
+		candidates: defaultCandidates,
+		retention:  logbook.Retention,
+		now:        now,
+		jobs:       make(map[logbook.Key]*job),
+		perTeam:    make(map[order.TeamName]int),
+		backlog:    newBacklog(),
+		records:    make(map[logbook.Token]recorded),
+		holding:    make(map[logbook.Key]*job),
+		view:       newView(),
+		budget:     newBudget(now),
+		last:       order.Attempt(epoch) << attemptBits,
 	}
 	for _, opt := range opts {
 		opt(m)
--- a/till/retry.go
+++ b/till/retry.go
@@ -11,13 +11,14 @@
 	budget struct {
 		tokens   float64
 		refilled time.Time
+		share    float64
 	}
 )
 
 const (
-	budgetShare = 0.1
-	budgetMax   = 100
-	budgetFirst = 10
+	defaultRetryBudget = 0.1
+	budgetMax          = 100
+	budgetFirst        = 10
 
 	// budgetPerSecond lets a partition with little traffic retry at all.
 	budgetPerSecond = 1
@@ -34,9 +35,11 @@
 	maxLost   = 3
 )
 
-func newBudget(now time.Time) budget { return budget{tokens: budgetFirst, refilled: now} }
+func newBudget(now time.Time) budget {
+	return budget{tokens: budgetFirst, refilled: now, share: defaultRetryBudget}
+}
 
-func (b *budget) earn() { b.tokens = min(b.tokens+budgetShare, budgetMax) }
+func (b *budget) earn() { b.tokens = min(b.tokens+b.share, budgetMax) }
 
 func (b *budget) refill(now time.Time) {
 	b.tokens = min(b.tokens+now.Sub(b.refilled).Seconds()*budgetPerSecond, budgetMax)
--- a/till/submit.go
+++ b/till/submit.go
@@ -123,7 +123,7 @@
 		return order.Malformed
 	case m.past(r.Deadline()):
 		return order.DeadlineBeforeRun
-	case m.open >= m.limit || m.perTeam[r.Team()] >= max(m.limit/2, 1):
+	case m.open >= m.limit || m.perTeam[r.Team()] >= m.teamBound():
 		return order.QueueFull
 	}
 	return m.view.refusal(m.config, r)
--- a/wharf/open.go
+++ b/wharf/open.go
@@ -8,6 +8,7 @@
 	"github.com/rs/zerolog"
 
 	"chervilhollow/berth"
+	"chervilhollow/chart"
 	"chervilhollow/depot"
 	"chervilhollow/gauge"
 	"chervilhollow/logbook"
@@ -33,7 +34,7 @@
 		hosts    *roster.Hosts
 		members  *roster.Members
 		guards   Guards
-		limits   limits
+		settings chart.Placer
 	}
 
 	// Guards gives the guard of an owned partition.
@@ -41,11 +42,6 @@
 		Guard(partition order.PartitionID, epoch order.Epoch) order.Guard
 	}
 
-	limits struct {
-		queue int
-		inbox int
-	}
-
 	// queuePart runs the queue of a request partition together with the
 	// divider of team limits and the journal.
 	queuePart struct {
@@ -79,7 +75,7 @@
 	}
 	guard := o.guards.Guard(partition, epoch)
 	journal, records, err := logbook.Open(ctx, partition, epoch, o.store, o.clock, guard,
-		logbook.WithLog(o.log), logbook.WithRegistry(o.registry))
+		logbook.WithLog(o.log), logbook.WithRegistry(o.registry), logbook.WithRetention(o.settings.ResultRetention()))
 	if err != nil {
 		o.log.Warn().Err(err).Str("partition", string(partition)).Msg("wharf: cannot open the journal; trying again")
 		return nil, err
@@ -98,7 +94,7 @@
 		WithPlacers(o.placers).
 		WithOwned(o.owned)
 	part := &queuePart{
-		queue:   till.New(partition, epoch, deps, till.WithInbox(o.limits.inbox), till.WithMachine(till.WithLimit(o.limits.queue))),
+		queue:   till.New(partition, epoch, deps, till.WithInbox(o.settings.InboxLength()), till.WithMachine(o.machineOptions()...)),
 		divider: tonnage.New(partition, o.store, o.clock, o.watcher.Current, o.hosts.Groups),
 		journal: journal,
 	}
@@ -118,12 +114,32 @@
 		WithConfig(o.watcher.Current).
 		WithWorkers(func() []roster.Worker { return o.workersOf(group) }).
 		WithLeaving(o.hosts.Leaving).
-		WithElsewhere(func(team order.TeamName) float64 { return o.digests.Elsewhere(group, team) })
-	part := &groupPart{group: berth.New(group, epoch, deps, berth.WithInbox(o.limits.inbox))}
+		WithElsewhere(func(team order.TeamName) float64 { return o.digests.Elsewhere(group, team) }).
+		WithPolicy(o.policy()).
+		WithBidLimit(o.settings.BidLength())
+	part := &groupPart{group: berth.New(group, epoch, deps, berth.WithInbox(o.settings.InboxLength()))}
 	o.router.AddGroup(partition, part.group)
 	return part, nil
 }
 
+func (o *opener) machineOptions() []till.MachineOption {
+	return []till.MachineOption{
+		till.WithLimit(o.settings.QueueLength()),
+		till.WithTeamLimit(o.settings.TeamQueueLength()),
+		till.WithCandidates(o.settings.CandidateGroups()),
+		till.WithRetryBudget(o.settings.RetryBudget()),
+		till.WithRetention(o.settings.ResultRetention()),
+	}
+}
+
+func (o *opener) policy() berth.Policy {
+	return berth.Policy{}.
+		WithRandomWorker(o.settings.RandomWorker()).
+		WithArrivalOrder(o.settings.ArrivalOrder()).
+		WithDeclaredSizes(!o.settings.CorrectSizes()).
+		WithoutCooldown(!o.settings.Cooldown())
+}
+
 // placers returns the placers that may own worker groups.
 func (o *opener) placers() []order.MemberID {
 	var ids []order.MemberID
--- a/wharf/placer.go
+++ b/wharf/placer.go
@@ -106,7 +106,7 @@
 		hosts:    p.hosts,
 		members:  p.members,
 		guards:   p.keeper,
-		limits:   limits{queue: p.settings.QueueLength(), inbox: p.settings.InboxLength()},
+		settings: p.settings,
 	}
 }
 
