--- a/chart/chart.go
+++ b/chart/chart.go
@@ -42,6 +42,7 @@
 
 	gateLimit struct {
 		MaxBodyBytes    int64    `json:"max_body_bytes" help:"largest request body"`
+		MaxOpenBytes    int64    `json:"max_open_bytes" help:"bytes that the bodies of all open submissions may have"`
 		MaxHeaderBytes  int      `json:"max_header_bytes" help:"largest request header"`
 		MaxOpenRequests int      `json:"max_open_requests" help:"requests that may wait for an answer at once"`
 		MaxTasks        int      `json:"max_tasks" help:"tasks that one request may ask for"`
@@ -54,6 +55,7 @@
 		CallTimeout     Duration `json:"call_timeout" help:"time a status or cancel call may take"`
 		ResendInterval  Duration `json:"resend_interval" help:"time without acknowledgement before a message is sent again"`
 		StopTimeout     Duration `json:"stop_timeout" help:"time that open requests get at a planned stop"`
+		DrainDelay      Duration `json:"drain_delay" help:"time that new requests are still taken at a planned stop after the gate reports not ready"`
 		StopLinger      Duration `json:"stop_linger" help:"time that new requests are still refused with an answer at a planned stop"`
 		TeamRate        float64  `json:"team_rate" help:"requests per second of one team at this gate"`
 		TeamBurst       int      `json:"team_burst" help:"requests of one team above the rate at once"`
@@ -100,6 +102,7 @@
 		commonWire: defaultCommon(),
 		Limits: gateLimit{
 			MaxBodyBytes:    1 << 20,
+			MaxOpenBytes:    128 << 20,
 			MaxHeaderBytes:  16 << 10,
 			MaxOpenRequests: 16384,
 			MaxTasks:        4096,
@@ -112,7 +115,8 @@
 			CallTimeout:     Duration(5 * time.Second),
 			ResendInterval:  Duration(250 * time.Millisecond),
 			StopTimeout:     Duration(30 * time.Second),
-			StopLinger:      Duration(2 * time.Second),
+			DrainDelay:      Duration(2 * time.Second),
+			StopLinger:      Duration(500 * time.Millisecond),
 			TeamRate:        2000,
 			TeamBurst:       4000,
 		},
@@ -173,6 +177,9 @@
 
 func (c *Checker) gateLimits(l gateLimit) {
 	c.Positive("limits.max_body_bytes", float64(l.MaxBodyBytes))
+	if l.MaxOpenBytes < l.MaxBodyBytes {
+		c.Fault("limits.max_open_bytes", "must be at least max_body_bytes")
+	}
 	c.Positive("limits.max_header_bytes", float64(l.MaxHeaderBytes))
 	c.Positive("limits.max_open_requests", float64(l.MaxOpenRequests))
 	c.Positive("limits.max_tasks", float64(l.MaxTasks))
@@ -187,6 +194,9 @@
 	c.Positive("limits.call_timeout", float64(l.CallTimeout))
 	c.Positive("limits.resend_interval", float64(l.ResendInterval))
 	c.Positive("limits.stop_timeout", float64(l.StopTimeout))
+	if l.DrainDelay < 0 {
+		c.Fault("limits.drain_delay", "must not be negative")
+	}
 	if l.StopLinger < 0 {
 		c.Fault("limits.stop_linger", "must not be below zero")
 	}
@@ -234,6 +244,10 @@
 // MaxBodyBytes returns the size of the largest request body.
 func (s Gate) MaxBodyBytes() int64 { return s.w.Limits.MaxBodyBytes }
 
+// MaxOpenBytes returns how many bytes the bodies of all open submissions may
+// have.
+func (s Gate) MaxOpenBytes() int64 { return s.w.Limits.MaxOpenBytes }
+
 // MaxHeaderBytes returns the size of the largest request header.
 func (s Gate) MaxHeaderBytes() int { return s.w.Limits.MaxHeaderBytes }
 
@@ -271,6 +285,10 @@
 // StopTimeout returns the time that open requests get at a planned stop.
 func (s Gate) StopTimeout() time.Duration { return time.Duration(s.w.Limits.StopTimeout) }
 
+// DrainDelay returns how long new requests are still taken at a planned stop
+// after the gate reports that it is not ready.
+func (s Gate) DrainDelay() time.Duration { return time.Duration(s.w.Limits.DrainDelay) }
+
 // StopLinger returns how long new requests are still refused with an answer at
 // a planned stop.
 func (s Gate) StopLinger() time.Duration { return time.Duration(s.w.Limits.StopLinger) }
--- a/sample/worker_audit.go
+++ b/sample/worker_audit.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"maps"
 	"net/http"
 	"sync"
 	"time"
@@ -21,6 +22,7 @@
 		aboveRoom  []order.TaskID
 		aboveUse   int
 		teams      map[order.TeamName]*teamCounts
+		workers    map[order.WorkerID]int
 	}
 
 	// WorkerAudit is the report of the stand-in about all runs.
@@ -33,14 +35,20 @@
 		AboveRoom  []order.TaskID       `json:"above_room"`
 		AboveUse   int                  `json:"above_use"`
 		Runs       map[order.TaskID]int `json:"runs,omitempty"`
+
+		// Workers counts the starts of each worker, Teams the tasks of each
+		// team that run now.
+		Workers map[order.WorkerID]int `json:"workers,omitempty"`
+		Teams   map[order.TeamName]int `json:"teams,omitempty"`
 	}
 )
 
 func newAudit() *audit {
 	return &audit{
-		runs:  make(map[order.TaskID]int),
-		live:  make(map[order.TaskID][]*run),
-		teams: make(map[order.TeamName]*teamCounts),
+		runs:    make(map[order.TaskID]int),
+		live:    make(map[order.TaskID][]*run),
+		teams:   make(map[order.TeamName]*teamCounts),
+		workers: make(map[order.WorkerID]int),
 	}
 }
 
@@ -55,6 +63,7 @@
 	a.starts++
 	a.runs[id]++
 	a.team(id).started++
+	a.workers[w.spec.ID]++
 	for _, other := range a.live[id] {
 		// A paused worker ends lapsed tasks when it wakes; the platform has
 		// ended them by then.
@@ -99,6 +108,8 @@
 		AboveUse:   a.aboveUse,
 	}
 	if all {
+		report.Workers = maps.Clone(a.workers)
+		report.Teams = a.runningTeams()
 		report.Runs = make(map[order.TaskID]int, len(a.runs))
 	}
 	for id, n := range a.runs {
@@ -112,6 +123,14 @@
 	return report
 }
 
+func (a *audit) runningTeams() map[order.TeamName]int {
+	teams := make(map[order.TeamName]int)
+	for id, runs := range a.live {
+		teams[id.Team()] += len(runs)
+	}
+	return teams
+}
+
 func (w *worker) aboveRoom(size func(*run) workerSize) bool {
 	var sum workerSize
 	for _, r := range w.running {
--- a/till/options.go
+++ b/till/options.go
@@ -7,7 +7,7 @@
 func WithTeamLimit(limit int) MachineOption { return func(m *Machine) { m.teamLimit = limit } }
 
 // WithCandidates sets how many groups a task bids at. With one there is no late
-// binding: the bid stays where it is until the group refuses it or is lost.
+// binding: the bid stays until the group refuses it or the attempt is given up.
 func WithCandidates(groups int) MachineOption { return func(m *Machine) { m.candidates = groups } }
 
 // WithRetryBudget sets the retries as a fraction of the requests.
--- a/voyage/cluster_test.go
+++ b/voyage/cluster_test.go
@@ -35,7 +35,7 @@
 		"cores": 64, "memory": 274877906944, "accelerators": 0,
 		"slots": 8, "connections": 64, "fenced": true,
 	},
-	"entry_hosts": [{"address": "127.0.0.1", "domain": "east"}],
+	"entry_hosts": [{"address": %q, "domain": "east"}],
 }`
 
 const sheetText = `type,name,value,state
@@ -55,16 +55,20 @@
 
 // cluster is one deployment with its stand-ins.
 type cluster struct {
-	t         *testing.T
-	dir       string
-	bin       string
-	processes map[string]*process
-	store     string
-	hosts     string
-	workers   string
-	gates     []string
-	admins    map[string]string
-	flows     map[string]*flow
+	t          *testing.T
+	dir        string
+	bin        string
+	processes  map[string]*process
+	store      string
+	hosts      string
+	workers    string
+	gates      []string
+	gateAdmins []string
+	admins     map[string]string
+	flows      map[string]*flow
+
+	balancer *balancer
+	noted    map[order.WorkerID]int
 }
 
 // newCluster starts stand-ins and entry hosts, imports the sheet and waits
@@ -76,9 +80,13 @@
 		admins:    make(map[string]string),
 		flows:     make(map[string]*flow),
 	}
-	ports := freePorts(t, 3+5*entryHosts)
+	host := nextHost()
+	ports := make([]string, 0, 3+5*entryHosts)
+	for i := range cap(ports) {
+		ports = append(ports, fmt.Sprintf("%s:%d", host, 7000+i))
+	}
 	c.store, c.hosts, c.workers = "http://"+ports[0], "http://"+ports[1], "http://"+ports[2]
-	file, err := writeFile(dir, "hosts.json", fmt.Sprintf(hostsFormat, workers, perRack, c.workers+"/w/w{n}"))
+	file, err := writeFile(dir, "hosts.json", fmt.Sprintf(hostsFormat, workers, perRack, c.workers+"/w/w{n}", host))
 	if err != nil {
 		return nil, err
 	}
@@ -100,6 +108,7 @@
 			return nil, err
 		}
 	}
+	c.balancer = newBalancer(c)
 	return c, c.begin()
 }
 
@@ -135,6 +144,7 @@
 	gate, placer := fmt.Sprintf("gate%d", number), fmt.Sprintf("placer%d", number)
 	c.admins[gate], c.admins[placer] = ports[1], ports[4]
 	c.gates = append(c.gates, "http://"+ports[2])
+	c.gateAdmins = append(c.gateAdmins, ports[1])
 	callers := fmt.Sprintf("%q: %q,", "caller_address", ports[2])
 	gateFile, err := writeFile(c.dir, gate+".json",
 		fmt.Sprintf(settingsFormat, ports[0], ports[1], callers, domain, c.store, c.hosts))
@@ -229,8 +239,20 @@
 	return strings.Split(text.String(), "\n"), err
 }
 
+// gate returns the URL of a gate that the balancer holds ready.
+func (c *cluster) gate(turn int) string {
+	ready := c.balancer.ready()
+	if len(ready) == 0 {
+		ready = c.gates
+	}
+	return ready[turn%len(ready)]
+}
+
 // close ends what still runs; a test has checked graceful ends before.
 func (c *cluster) close() {
+	if c.balancer != nil {
+		c.balancer.close()
+	}
 	for _, p := range c.processes {
 		if p.running() {
 			_ = p.signal(syscall.SIGCONT)
