--- a/sample/worker_audit.go
+++ b/sample/worker_audit.go
@@ -21,6 +21,7 @@
 		concurrent []order.TaskID
 		aboveRoom  []order.TaskID
 		aboveUse   int
+		teams      map[order.TeamName]*teamCounts
 		workers    map[order.WorkerID]int
 	}
 
@@ -46,6 +47,7 @@
 	return &audit{
 		runs:    make(map[order.TaskID]int),
 		live:    make(map[order.TaskID][]*run),
+		teams:   make(map[order.TeamName]*teamCounts),
 		workers: make(map[order.WorkerID]int),
 	}
 }
@@ -60,6 +62,7 @@
 	id := r.start.Task
 	a.starts++
 	a.runs[id]++
+	a.team(id).started++
 	a.workers[w.spec.ID]++
 	for _, other := range a.live[id] {
 		// A paused worker ends lapsed tasks when it wakes; the platform has
