--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,6 @@
 GO ?= go
-SEEDS ?= 200
+SEEDS ?= 2000
+SOAK ?= 10m
 
 .PHONY: build generate test check try soak measure ci
 
@@ -19,7 +20,7 @@
 	$(GO) tool revive -config revive.toml -set_exit_status ./...
 
 soak:
-	$(GO) test -count=1 -timeout 3600s ./... -rapid.checks=$(SEEDS)0
+	VOYAGE_SOAK=$(SOAK) $(GO) test -count=1 -timeout 3600s ./... -rapid.checks=$(SEEDS)
 
 try: build
 	scripts/try.sh
