--- a/counter/answer.go
+++ b/counter/answer.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"net/http"
 	"time"
+	"unicode/utf8"
 
 	"chervilhollow/order"
 )
@@ -22,14 +23,18 @@
 	}
 
 	answerDocument struct {
-		ID       order.RequestID `json:"id,omitempty"`
-		Code     order.Code      `json:"code"`
-		Name     string          `json:"name"`
-		Text     string          `json:"text"`
-		Run      string          `json:"run"`
-		State    string          `json:"state,omitempty"`
-		Result   []byte          `json:"result,omitempty"`
-		WaitedMS float64         `json:"waited_ms"`
+		ID     order.RequestID `json:"id,omitempty"`
+		Code   order.Code      `json:"code"`
+		Name   string          `json:"name"`
+		Text   string          `json:"text"`
+		Run    string          `json:"run"`
+		State  string          `json:"state,omitempty"`
+		Result []byte          `json:"result,omitempty"`
+
+		// ResultText repeats a result that is valid UTF-8 text.
+		ResultText string `json:"result_text,omitempty"`
+
+		WaitedMS float64 `json:"waited_ms"`
 	}
 )
 
@@ -159,6 +164,9 @@
 		ID: r.id, Code: r.code, Name: r.code.String(), Text: r.text,
 		Run: r.run(k.submits).String(), Result: r.result,
 	}
+	if utf8.Valid(r.result) {
+		d.ResultText = string(r.result)
+	}
 	if r.state != order.RequestUnknown {
 		d.State = r.state.String()
 	}
--- a/counter/parse.go
+++ b/counter/parse.go
@@ -29,6 +29,7 @@
 		MemoryMB     int64   `json:"memory_mb"`
 		Accelerators int     `json:"accelerators"`
 		Payload      []byte  `json:"payload"`
+		PayloadText  string  `json:"payload_text"`
 	}
 
 	// submission is a checked request.
@@ -124,6 +125,8 @@
 		return "tasks must be 1 for a batch or a preview"
 	case kind == order.Service && !d.Detached:
 		return "a service has no end, so it must be detached"
+	case len(d.Payload) > 0 && d.PayloadText != "":
+		return "give payload (base64) or payload_text, not both"
 	}
 	return checkSize(d)
 }
@@ -196,12 +199,19 @@
 		WithCheckpoint(d.Checkpoint).
 		WithDeadline(deadline).
 		WithSize(size).
-		WithPayload(d.Payload).
+		WithPayload(d.payload()).
 		WithReceived(k.received)
 	s.hash = bodyHash(s.request)
 	return s
 }
 
+func (d requestDocument) payload() []byte {
+	if d.PayloadText != "" {
+		return []byte(d.PayloadText)
+	}
+	return d.Payload
+}
+
 func bodyHash(r order.Request) uint64 {
 	size := r.Size()
 	h := xxhash.New()
