Settle a refusal only when no other copy can contradict it

A randomised run with moving owners found requests that were answered with 201 or 202 but ran: a late refusal of an earlier tenancy arrived after the next owner had taken another copy, or before a copy at a third process was taken. The gate now keeps the state of each copy that it sent and answers "not run" only when no copy waits and no other process took one since.

--- a/counter/counter_test.go
+++ b/counter/counter_test.go
@@ -177,7 +177,18 @@
 
 func newBench(t testing.TB, c *cell, opts ...counter.Option) *bench {
 	t.Helper()
-	b := &bench{t: t, cell: c, reg: gauge.New(zerolog.Nop())}
+	sender := &gateSender{cell: c}
+	b := newBenchOn(t, sender, c, opts...)
+	b.cell = c
+	sender.gate = b.gate
+	t.Cleanup(c.wg.Wait)
+	return b
+}
+
+// newBenchOn returns a gate on the given links and directory.
+func newBenchOn(t testing.TB, sender order.Sender, directory counter.Directory, opts ...counter.Option) *bench {
+	t.Helper()
+	b := &bench{t: t, reg: gauge.New(zerolog.Nop())}
 	b.reg.SetStrict(true)
 	b.config.Store(sheet.NewConfig(1).
 		WithTeam(sheet.NewTeam("toys", 1, 100)).
@@ -193,13 +204,11 @@
 		counter.WithOwnerWait(100 * time.Millisecond),
 		counter.WithDeadlines(time.Second, time.Hour),
 	}, opts...)
-	sender := &gateSender{cell: c}
 	b.gate = counter.New(counter.NewDeps(clock, b.reg, zerolog.Nop()).
 		WithSender(sender).
-		WithDirectory(c).
+		WithDirectory(directory).
 		WithAdmission(b).
 		WithConfig(func() *sheet.Config { return b.config.Load() }), opts...)
-	sender.gate = b.gate
 	b.server = httptest.NewUnstartedServer(b.gate)
 	b.server.Config = b.gate.Server()
 	b.server.Start()
@@ -213,7 +222,6 @@
 		cancel()
 		<-done
 		b.server.Close()
-		c.wg.Wait()
 		http.DefaultClient.CloseIdleConnections()
 	})
 	return b
@@ -536,7 +544,8 @@
 	c.setOwner(p2)
 	time.Sleep(200 * time.Millisecond)
 	c.reply(p1, final("toys", "r1", order.QueueFull))
-	waitFor(t, func() bool { return b.reg.Counter("counter.dropped.foreign") > 0 })
+	waitFor(t, func() bool { return b.reg.Counter("counter.refusals") > 0 })
+	time.Sleep(50 * time.Millisecond)
 	is.Equal(len(got), 0)
 	c.reply(p2, done("toys", "r1", "ran"))
 	is.Equal((<-got).Code, 0)
--- a/counter/exchange.go
+++ b/counter/exchange.go
@@ -40,8 +40,8 @@
 		next     time.Time
 		interval time.Duration
 
-		// refusedAt is the time of a refusal that is not settled, because
-		// copies of the request were sent that are not answered yet.
+		// refusedAt is the time of a refusal that other copies of the request
+		// may still contradict.
 		refusedAt time.Time
 
 		copies     map[uint64]*sentCopy
@@ -55,15 +55,6 @@
 	}
 )
 
-// sentCopy is one copy of the message. A query sends the same copy again, a
-// submission a new one.
-type sentCopy struct {
-	to      order.MemberID
-	number  int
-	handed  bool
-	settled bool
-}
-
 const (
 	inboxLength = 16
 
@@ -75,10 +66,6 @@
 	acceptedInterval        = 5 * time.Second
 	longestAcceptedInterval = time.Minute
 
-	// settleTime is how long the answers to the other copies of a refused
-	// request may take.
-	settleTime = time.Second
-
 	// notOwnerPause keeps two processes that point at each other from being
 	// asked in a tight loop.
 	notOwnerPause = 20 * time.Millisecond
@@ -107,6 +94,9 @@
 	x.next = c.deps.clock.Now()
 	for {
 		now := c.deps.clock.Now()
+		if r, refused := x.refused(now); refused {
+			return r
+		}
 		if !now.Before(x.expiry()) {
 			return x.expired()
 		}
@@ -139,7 +129,7 @@
 	case !x.submits:
 		return x.end
 	case !x.refusedAt.IsZero():
-		return earlier(x.end.Add(x.counter.limits.grace), x.refusedAt.Add(settleTime))
+		return x.refusedAt.Add(copyLife)
 	case x.handed > 0:
 		return x.end.Add(x.counter.limits.grace)
 	}
@@ -195,13 +185,13 @@
 		x.counter.deps.registry.Count("counter.no_owner")
 		return reply{}, false
 	}
-	sequence, sent := x.nextCopy(owner)
+	sequence, sent := x.nextCopy(owner, now)
 	first := x.handed == 0
 	err := x.counter.deps.sender.Send(owner, x.message(sequence, first))
 	if err == nil {
 		x.target = owner
 		x.handed++
-		sent.handed = true
+		sent.state = copyWaiting
 		if !first {
 			x.counter.deps.registry.Count("counter.sent_again")
 		}
@@ -214,22 +204,6 @@
 	return reply{}, false
 }
 
-// nextCopy returns the sequence of the next copy and notes its receiver. It
-// does so before the copy is sent, because the answer may be faster than the
-// return of the call.
-func (x *exchange) nextCopy(to order.MemberID) (uint64, *sentCopy) {
-	if !x.submits {
-		for sequence, sent := range x.copies {
-			sent.to = to
-			return sequence, sent
-		}
-	}
-	sequence := x.counter.table.expect(x)
-	sent := &sentCopy{to: to, number: len(x.copies)}
-	x.copies[sequence] = sent
-	return sequence, sent
-}
-
 func (x *exchange) longestInterval() time.Duration {
 	if x.accepted {
 		return longestAcceptedInterval
@@ -240,33 +214,28 @@
 func (x *exchange) take(in inbound) (reply, bool) {
 	switch m := in.msg.(type) {
 	case order.AcceptedMsg:
-		x.settle(in)
-		return x.takeAccepted()
+		return x.takeAccepted(in)
 	case order.AnswerMsg:
-		x.settle(in)
-		return x.takeAnswer(in.from, m)
+		return x.takeAnswer(in, m)
 	case order.NotOwnerMsg:
 		x.takeNotOwner(in.from, m)
 	}
 	return reply{}, false
 }
 
-// settle notes that the copy was answered.
-func (x *exchange) settle(in inbound) {
-	if sent, ok := x.copies[in.sequence]; ok {
-		sent.settled = true
-	}
-}
-
-func (x *exchange) takeAccepted() (reply, bool) {
-	x.refusedAt = time.Time{}
+func (x *exchange) takeAccepted(in inbound) (reply, bool) {
+	contested := x.noteAccepted(in)
 	if x.detached {
 		return newReply(order.Pending).withState(order.RequestQueued), true
 	}
 	if !x.accepted {
 		x.state = order.RequestQueued
 	}
-	x.waitAccepted()
+	if contested {
+		x.askAgain()
+	} else {
+		x.waitAccepted()
+	}
 	return reply{}, false
 }
 
@@ -280,20 +249,26 @@
 	x.next = x.counter.deps.clock.Now().Add(acceptedInterval)
 }
 
-func (x *exchange) takeAnswer(from order.MemberID, m order.AnswerMsg) (reply, bool) {
+func (x *exchange) takeAnswer(in inbound, m order.AnswerMsg) (reply, bool) {
 	if !m.Final() && m.Code() != order.UnknownRequest {
 		return x.takeProgress(m)
 	}
 	if len(m.Body()) != m.Length() || (m.Length() > 0 && xxhash.Sum64(m.Body()) != m.Checksum()) {
 		x.counter.deps.registry.Count("counter.dropped.incomplete")
 		x.incomplete = true
+		x.noteAccepted(in)
 		x.resendSoon(x.counter.limits.resend)
 		return reply{}, false
 	}
-	if x.submits && !x.settled(from, m.Code()) {
+	r := replyOf(m)
+	switch {
+	case x.submits && m.Code().Run() == order.RunNo:
+		x.noteRefused(in, r)
+		return reply{}, false
+	case x.submits && !x.conclusive(in.from, m.Code()):
+		x.counter.deps.registry.Count("counter.dropped.foreign")
 		return reply{}, false
 	}
-	r := replyOf(m)
 	if !x.submits && m.Code() != order.UnknownRequest {
 		r.state = order.RequestDone
 	}
@@ -316,30 +291,9 @@
 	return pending(x.state), true
 }
 
-// settled reports whether the answer ends the submission. A refusal does not
-// while another copy at the same process is not answered, because a partition
-// takes a copy that arrives after the refusal for a new submission.
-func (x *exchange) settled(from order.MemberID, code order.Code) bool {
-	if !x.conclusive(from, code) {
-		x.counter.deps.registry.Count("counter.dropped.foreign")
-		return false
-	}
-	if code.Run() != order.RunNo {
-		return true
-	}
-	for _, sent := range x.copies {
-		if sent.to == from && sent.handed && !sent.settled {
-			x.counter.deps.registry.Count("counter.refusal_unsettled")
-			x.refusedAt = x.counter.deps.clock.Now()
-			return false
-		}
-	}
-	return true
-}
-
-// conclusive reports whether the answer settles the submission. Once several
-// processes were asked, only the current owner can tell that the request did
-// not run, because another one may have started it.
+// conclusive reports whether the answer ends the submission. Once several
+// processes were asked, only the current owner may say that the outcome is
+// unknown.
 func (x *exchange) conclusive(from order.MemberID, code order.Code) bool {
 	if code.Run() == order.RunYes || from == x.target {
 		return true
@@ -349,33 +303,18 @@
 }
 
 func (x *exchange) takeNotOwner(from order.MemberID, m order.NotOwnerMsg) {
+	x.noteNotOwner(from)
 	if from != x.target {
 		return
 	}
 	x.counter.deps.registry.Count("counter.not_owner")
 	x.accepted = false
-	x.settleOldest(from)
 	if m.Owner() != "" && m.Owner() != from && m.Epoch() >= x.hintEpoch {
 		x.hint, x.hintEpoch = m.Owner(), m.Epoch()
 	}
 	x.resendSoon(notOwnerPause)
 }
 
-// settleOldest settles the first open copy at a process, because the notice of
-// a process that is not the owner does not carry a sequence.
-func (x *exchange) settleOldest(to order.MemberID) {
-	var oldest *sentCopy
-	for _, sent := range x.copies {
-		open := sent.to == to && sent.handed && !sent.settled
-		if open && (oldest == nil || sent.number < oldest.number) {
-			oldest = sent
-		}
-	}
-	if oldest != nil {
-		oldest.settled = true
-	}
-}
-
 // expired returns what is known when the time is over.
 func (x *exchange) expired() reply {
 	switch {
--- a/window/admission_test.go
+++ b/window/admission_test.go
@@ -66,7 +66,7 @@
 	}
 }
 
-func eventually(t *testing.T, what string, cond func() bool) {
+func eventually(t testing.TB, what string, cond func() bool) {
 	t.Helper()
 	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); {
 		if cond() {
--- a/window/gate_test.go
+++ b/window/gate_test.go
@@ -33,7 +33,7 @@
 type (
 	// testCell is a store and one process that owns all request partitions.
 	testCell struct {
-		t      *testing.T
+		t      testing.TB
 		store  *httptest.Server
 		memory *depot.Memory
 		editor *sheet.Editor
@@ -53,7 +53,7 @@
 
 const peerSecret = "0123456789abcdef"
 
-func newTestCell(t *testing.T) *testCell {
+func newTestCell(t testing.TB) *testCell {
 	is := is.New(t)
 	standIn := sample.NewStore(tide.New())
 	c := &testCell{t: t, store: httptest.NewServer(standIn), memory: standIn.Memory()}
@@ -124,7 +124,7 @@
 	c.queue = nil
 }
 
-func freeAddress(t *testing.T) string {
+func freeAddress(t testing.TB) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -134,16 +134,17 @@
 	return l.Addr().String()
 }
 
-func (c *testCell) startGate() *testGate {
+func (c *testCell) startGate(limits ...string) *testGate {
 	t := c.t
 	t.Helper()
 	is := is.New(t)
+	limits = append(limits, `"drain_delay": "100ms", "stop_linger": "200ms", "stop_timeout": "20s"`)
 	g := &testGate{caller: freeAddress(t), admin: freeAddress(t), done: make(chan error, 1)}
 	settings, err := chart.ParseGate("gate.json", []byte(fmt.Sprintf(`{
 		"peer_address": %q, "caller_address": %q, "admin_address": %q,
 		"failure_domain": "east", "store_url": %q, "host_list_url": %q, "peer_secret": %q,
-		"limits": {"drain_delay": "100ms", "stop_linger": "200ms", "stop_timeout": "20s"}
-	}`, freeAddress(t), g.caller, g.admin, c.store.URL, c.store.URL, peerSecret)))
+		"limits": {%s}
+	}`, freeAddress(t), g.caller, g.admin, c.store.URL, c.store.URL, peerSecret, strings.Join(limits, ", "))))
 	is.NoErr(err)
 	g.gate, err = window.NewGate(settings, tide.New(), zerolog.Nop())
 	is.NoErr(err)
