--- a/till/attempt.go
+++ b/till/attempt.go
@@ -1,6 +1,7 @@
 package till
 
 import (
+	"sort"
 	"time"
 
 	"chervilhollow/logbook"
@@ -131,7 +132,7 @@
 }
 
 // unstartedOnly reports whether all earlier attempts of the task are known as
-// not started.
+// not started, or ended with a checkpoint.
 func (m *Machine) unstartedOnly(t *task) bool {
 	open := 0
 	for _, other := range t.job.tasks {
@@ -139,7 +140,7 @@
 			open++
 		}
 	}
-	return t.job.confirms-t.job.unstarted <= open
+	return t.job.confirms-t.job.unstarted-t.job.resumed <= open
 }
 
 func (m *Machine) sendConfirm(t *task) {
@@ -196,7 +197,7 @@
 		return
 	}
 	if !m.recovery.complete {
-		if t != nil && !t.open() && t.job.phase == phaseRecovering {
+		if t != nil && !t.open() && t.job.phase == phaseRecovering && msg.Attempt() > t.over {
 			m.adopt(t, msg.Attempt(), msg.Group(), taskRunning, msg.Worker())
 			m.settle(t.job)
 		}
@@ -231,13 +232,27 @@
 
 // probe asks the groups whose owner changed about the attempts there.
 func (m *Machine) probe() {
+	for _, t := range m.openTasks(func(t *task) bool {
+		epoch := m.view.epoch(t.group)
+		return epoch != 0 && epoch != t.epoch
+	}) {
+		m.sendConfirm(t)
+	}
+}
+
+// openTasks returns the tasks with an open attempt for which the function
+// returns true, in order of ID.
+func (m *Machine) openTasks(wanted func(*task) bool) []*task {
+	var tasks []*task
 	for _, j := range m.jobs {
 		for _, t := range j.tasks {
-			if epoch := m.view.epoch(t.group); t.open() && epoch != 0 && epoch != t.epoch {
-				m.sendConfirm(t)
+			if t.open() && wanted(t) {
+				tasks = append(tasks, t)
 			}
 		}
 	}
+	sort.Slice(tasks, func(a, b int) bool { return tasks[a].id < tasks[b].id })
+	return tasks
 }
 
 // believable returns whether the attempt certainly never started, and its code.
@@ -301,6 +316,7 @@
 		return
 	}
 	t.state = taskEnded
+	t.over = t.attempt
 	t.stopping = false
 	t.silentAt = time.Time{}
 	t.unstarted = notStarted
@@ -323,10 +339,10 @@
 func (m *Machine) endOther(t *task, o order.Outcome, notStarted bool, a ack) {
 	j := t.job
 	switch {
-	case j.phase == phaseRecovering && !notStarted:
+	case j.phase == phaseRecovering && !notStarted && o.Attempt() > t.over:
 		m.adopt(t, o.Attempt(), a.group, taskRunning, o.Worker())
 		m.endAttempt(t, o, false, a)
-	case !m.recovery.complete && j.phase == phaseRecovering:
+	case !m.recovery.complete && j.phase == phaseRecovering && o.Attempt() > t.over:
 		// The inventory decides.
 	case j.waitsForAck(a):
 		// It is acknowledged once the journal holds the outcome.
@@ -376,13 +392,9 @@
 // loseGroup ends the attempts in a group that had no owner for the length of a
 // task lease.
 func (m *Machine) loseGroup(group order.GroupID) {
-	for _, j := range m.jobs {
-		for _, t := range j.tasks {
-			if t.open() && t.group == group {
-				m.loseAttempt(t)
-				m.settle(j)
-			}
-		}
+	for _, t := range m.openTasks(func(t *task) bool { return t.group == group }) {
+		m.loseAttempt(t)
+		m.settle(t.job)
 	}
 }
 
--- a/till/bid.go
+++ b/till/bid.go
@@ -30,13 +30,17 @@
 )
 
 const (
-	bidsPerTask = 2
-	maxBids     = 4
+	// defaultCandidates is the number of groups that a task bids at.
+	defaultCandidates = 2
+
+	// bidsPerCandidate bounds the bids that renewals add.
+	bidsPerCandidate = 2
 
 	// maxProbes bounds the groups that are looked at for one task.
 	maxProbes = 256
 
 	renewPeriod = time.Second
+	maxRenewals = 10
 	resendSoon  = 100 * time.Millisecond
 	resendStop  = time.Second
 
@@ -55,7 +59,8 @@
 	t.state = taskBidding
 	t.attempt = m.nextAttempt()
 	t.bids = t.bids[:0]
-	m.addBids(t, bidsPerTask)
+	t.renewals = 0
+	m.addBids(t, m.candidates)
 	t.checkAt = m.now.Add(renewPeriod)
 }
 
@@ -80,17 +85,30 @@
 // group with room.
 func (m *Machine) renewBids(t *task) {
 	t.checkAt = m.now.Add(renewPeriod)
+	if t.renewals++; t.renewals >= maxRenewals {
+		m.rebid(t)
+		return
+	}
 	for i := range t.bids {
 		if g, ok := m.view.groups[t.bids[i].group]; ok {
 			t.bids[i].epoch = g.digest.Epoch()
 			m.sendBid(t, g)
 		}
 	}
-	if len(t.bids) >= maxBids {
+	if m.candidates > 1 && len(t.bids) >= bidsPerCandidate*m.candidates {
 		m.withdraw(t, t.bids[0].group)
 		t.bids = append(t.bids[:0], t.bids[1:]...)
 	}
-	m.addBids(t, max(bidsPerTask-len(t.bids), 1))
+	m.addBids(t, m.moreBids(t))
+}
+
+// rebid starts over with a new attempt. A group whose offer was lost may not
+// take a bid of the old one again.
+func (m *Machine) rebid(t *task) {
+	m.withdrawAll(t, "")
+	t.attempt = m.nextAttempt()
+	t.renewals = 0
+	m.addBids(t, m.candidates)
 }
 
 // repeatBids sends the bids again that went to an earlier owner of a group.
--- a/till/till_test.go
+++ b/till/till_test.go
@@ -266,7 +266,7 @@
 	s := w.submit("gate0", request("a", order.Batch))
 	w.run(time.Second)
 	for _, g := range w.groups {
-		g.changeOwner()
+		g.changeOwner(w)
 		g.slots = 1
 	}
 	w.run(2 * time.Second)
@@ -284,7 +284,7 @@
 	w.run(time.Second)
 	for _, g := range w.groups {
 		g.owned = true
-		g.changeOwner()
+		g.changeOwner(w)
 	}
 	w.run(30 * time.Second)
 	expect(t, w, "gate0", once, order.WorkerLost)
@@ -307,3 +307,30 @@
 	w.run(time.Second)
 	is.Equal(len(w.gates["gate0"].finals), 4)
 }
+
+// Guards against an inventory that was taken before the end of an attempt, and
+// arrives after it: the attempt must not count as running again.
+func TestLateInventory(t *testing.T) {
+	w := settled(t, 3, 2)
+	for _, g := range w.groups {
+		g.runTime = func(order.Task) (time.Duration, order.Code) { return time.Second, order.Done }
+	}
+	r := request("a", order.Batch).WithDetached(true)
+	w.submit("gate0", r)
+	w.run(500 * time.Millisecond)
+	w.takeOver()
+	late := w.inventoryReply(order.InventoryMsg{}.WithPartition(testPartition).WithEpoch(w.epoch))
+	for _, g := range w.groups {
+		g.loseWorker(w)
+		g.owned = false // no inventory of its own before the late one
+	}
+	w.run(50 * time.Millisecond)
+	w.execute(w.machine.Handle(w.now(), placerID, late))
+	for _, g := range w.groups {
+		g.owned = true
+	}
+	w.run(5 * time.Second)
+	s := w.follow("gate1", "a")
+	w.run(time.Second)
+	expect(t, w, "gate1", s, order.Done)
+}
--- a/wharf/open.go
+++ b/wharf/open.go
@@ -8,6 +8,7 @@
 	"github.com/rs/zerolog"
 
 	"chervilhollow/berth"
+	"chervilhollow/chart"
 	"chervilhollow/depot"
 	"chervilhollow/gauge"
 	"chervilhollow/logbook"
@@ -33,7 +34,7 @@
 		hosts    *roster.Hosts
 		members  *roster.Members
 		guards   Guards
-		limits   limits
+		settings chart.Placer
 	}
 
 	// Guards gives the guard of an owned partition.
@@ -41,11 +42,6 @@
 		Guard(partition order.PartitionID, epoch order.Epoch) order.Guard
 	}
 
-	limits struct {
-		queue int
-		inbox int
-	}
-
 	// queuePart runs the queue of a request partition together with the
 	// divider of team limits and the journal.
 	queuePart struct {
@@ -79,7 +75,7 @@
 	}
 	guard := o.guards.Guard(partition, epoch)
 	journal, records, err := logbook.Open(ctx, partition, epoch, o.store, o.clock, guard,
-		logbook.WithLog(o.log), logbook.WithRegistry(o.registry))
+		logbook.WithLog(o.log), logbook.WithRegistry(o.registry), logbook.WithRetention(o.settings.ResultRetention()))
 	if err != nil {
 		o.log.Warn().Err(err).Str("partition", string(partition)).Msg("wharf: cannot open the journal; trying again")
 		return nil, err
@@ -97,9 +93,19 @@
 		WithGroups(o.hosts.Groups).
 		WithPlacers(o.placers).
 		WithOwned(o.owned)
+	division := tonnage.NewDeps().
+		WithClock(o.clock).
+		WithRegistry(o.registry).
+		WithLog(o.log).
+		WithGuard(guard).
+		WithPoster(o.router).
+		WithConfig(o.watcher.Current).
+		WithDigests(o.digests.Current).
+		WithGroups(o.hosts.Groups).
+		WithOwned(o.owned)
 	part := &queuePart{
-		queue:   till.New(partition, epoch, deps, till.WithInbox(o.limits.inbox), till.WithMachine(till.WithLimit(o.limits.queue))),
-		divider: tonnage.New(partition, o.store, o.clock, o.watcher.Current, o.hosts.Groups),
+		queue:   till.New(partition, epoch, deps, till.WithInbox(o.settings.InboxLength()), till.WithMachine(o.machineOptions()...)),
+		divider: tonnage.New(partition, epoch, o.store, division),
 		journal: journal,
 	}
 	o.router.AddQueue(partition, part.queue, part.divider)
@@ -116,14 +122,34 @@
 		WithPoster(o.router).
 		WithStore(o.store).
 		WithConfig(o.watcher.Current).
-		WithWorkers(func() []roster.Worker { return o.workersOf(group) }).
+		WithWorkers(func() []roster.Worker { return o.hosts.WorkersOf(group) }).
 		WithLeaving(o.hosts.Leaving).
-		WithElsewhere(func(team order.TeamName) float64 { return o.digests.Elsewhere(group, team) })
-	part := &groupPart{group: berth.New(group, epoch, deps, berth.WithInbox(o.limits.inbox))}
+		WithElsewhere(func(team order.TeamName) float64 { return o.digests.Elsewhere(group, team) }).
+		WithPolicy(o.policy()).
+		WithBidLimit(o.settings.BidLength())
+	part := &groupPart{group: berth.New(group, epoch, deps, berth.WithInbox(o.settings.InboxLength()))}
 	o.router.AddGroup(partition, part.group)
 	return part, nil
 }
 
+func (o *opener) machineOptions() []till.MachineOption {
+	return []till.MachineOption{
+		till.WithLimit(o.settings.QueueLength()),
+		till.WithTeamLimit(o.settings.TeamQueueLength()),
+		till.WithCandidates(o.settings.CandidateGroups()),
+		till.WithRetryBudget(o.settings.RetryBudget()),
+		till.WithRetention(o.settings.ResultRetention()),
+	}
+}
+
+func (o *opener) policy() berth.Policy {
+	return berth.Policy{}.
+		WithRandomWorker(o.settings.RandomWorker()).
+		WithArrivalOrder(o.settings.ArrivalOrder()).
+		WithDeclaredSizes(!o.settings.CorrectSizes()).
+		WithoutCooldown(!o.settings.Cooldown())
+}
+
 // placers returns the placers that may own worker groups.
 func (o *opener) placers() []order.MemberID {
 	var ids []order.MemberID
@@ -140,16 +166,6 @@
 	return ok
 }
 
-func (o *opener) workersOf(group order.GroupID) []roster.Worker {
-	var workers []roster.Worker
-	for _, w := range o.hosts.Workers() {
-		if w.Group() == group {
-			workers = append(workers, w)
-		}
-	}
-	return workers
-}
-
 // Run implements Part.
 func (p *queuePart) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
