--- a/till/bid.go
+++ b/till/bid.go
@@ -30,8 +30,11 @@
 )
 
 const (
-	bidsPerTask = 2
-	maxBids     = 4
+	// defaultCandidates is the number of groups that a task bids at.
+	defaultCandidates = 2
+
+	// bidsPerCandidate bounds the bids that renewals add.
+	bidsPerCandidate = 2
 
 	// maxProbes bounds the groups that are looked at for one task.
 	maxProbes = 256
@@ -57,7 +60,7 @@
 	t.attempt = m.nextAttempt()
 	t.bids = t.bids[:0]
 	t.renewals = 0
-	m.addBids(t, bidsPerTask)
+	m.addBids(t, m.candidates)
 	t.checkAt = m.now.Add(renewPeriod)
 }
 
@@ -92,11 +95,11 @@
 			m.sendBid(t, g)
 		}
 	}
-	if len(t.bids) >= maxBids {
+	if m.candidates > 1 && len(t.bids) >= bidsPerCandidate*m.candidates {
 		m.withdraw(t, t.bids[0].group)
 		t.bids = append(t.bids[:0], t.bids[1:]...)
 	}
-	m.addBids(t, max(bidsPerTask-len(t.bids), 1))
+	m.addBids(t, m.moreBids(t))
 }
 
 // rebid starts over with a new attempt. A group whose offer was lost may not
@@ -105,7 +108,7 @@
 	m.withdrawAll(t, "")
 	t.attempt = m.nextAttempt()
 	t.renewals = 0
-	m.addBids(t, bidsPerTask)
+	m.addBids(t, m.candidates)
 }
 
 // repeatBids sends the bids again that went to an earlier owner of a group.
