Acknowledge no allotment below what unread workers may run

A decrease that the quota owner repeated was acknowledged without what a worker that had not answered since the takeover may still run, because the second message compared with the first instead of the allotment at the takeover.

--- a/berth/allotments.go
+++ b/berth/allotments.go
@@ -12,6 +12,7 @@
 	// allotment is the part of a team's limit that the group may use.
 	allotment struct {
 		count   int
+		most    int // the highest count since the takeover
 		version uint64
 		limit   int
 		lowered bool
@@ -64,6 +65,7 @@
 			continue
 		}
 		a.lowered = ok && a.limit < known.limit
+		a.most = max(a.count, known.most)
 		m.allotments[team] = a
 	}
 }
@@ -82,10 +84,17 @@
 }
 
 func (m *machine) onAllot(msg order.AllotMsg) {
+	if !m.allotmentsRead {
+		// What an earlier owner may have running is not known yet, so nothing
+		// can be acknowledged. The quota owner sends the allotment again.
+		m.deps.registry.Count("berth.early_allotment")
+		return
+	}
 	team := msg.Team()
 	known, ok := m.allotments[team]
 	if !ok || msg.Version() >= known.version {
 		next := allotment{count: msg.Count(), version: msg.Version(), limit: msg.Limit()}
+		next.most = max(next.count, known.most)
 		next.lowered = ok && (next.limit < known.limit || known.lowered && next.limit == known.limit)
 		m.allotments[team] = next
 	}
@@ -93,16 +102,16 @@
 	if quota == "" {
 		quota = order.QuotaPartition(team)
 	}
-	m.post(quota, m.allotAck(team, known.count))
+	m.post(quota, m.allotAck(team))
 }
 
 // The number in force is never below what runs, so that the quota owner does
 // not give away what is still used. Workers that were not read may run
-// anything up to the earlier allotment.
-func (m *machine) allotAck(team order.TeamName, previous int) order.AllotAckMsg {
+// anything up to the highest allotment since the takeover.
+func (m *machine) allotAck(team order.TeamName) order.AllotAckMsg {
 	a := m.allotments[team]
 	live := m.live[team]
-	inForce := max(a.count, live, min(previous, live+m.unknownTasks()))
+	inForce := max(a.count, live, min(a.most, live+m.unknownTasks()))
 	return order.AllotAckMsg{}.
 		WithPartition(order.QuotaPartition(team)).
 		WithTeam(team).
--- a/berth/machine_test.go
+++ b/berth/machine_test.go
@@ -27,10 +27,12 @@
 	workers []roster.Worker
 	dead    map[order.WorkerID]bool
 	clock   int64
+	crashes string
 	posted  []order.Msg
 	starts  []startCommand
 	stops   []stopCommand
-	hold    bool
+	hold    bool // leaves starts unanswered
+	slow    bool // leaves task lists unanswered
 }
 
 func newFixture(t *testing.T, workers int) *fixture {
@@ -74,7 +76,7 @@
 
 func (f *fixture) stamp() crane.Stamp {
 	f.clock = max(f.clock+1, f.now.Sub(f.m.began).Microseconds())
-	return crane.NewStamp("run", f.clock)
+	return crane.NewStamp("run"+f.crashes, f.clock)
 }
 
 func (f *fixture) step(ev event) {
@@ -95,6 +97,9 @@
 	case stopCommand:
 		f.stops = append(f.stops, c)
 	case listCommand:
+		if f.slow {
+			return
+		}
 		f.step(listResult{worker: c.worker, listing: f.listing(c.worker), err: f.fault(c.worker)})
 	case renewCommand:
 		f.step(renewResult{worker: c.worker, renewal: crane.NewRenewal(f.stamp(), nil), err: f.fault(c.worker)})
@@ -639,3 +644,61 @@
 	f.Equal(f.m.live["tags"], 1)
 	f.Equal(f.m.hosts[0].reserved.cores, int64(1000))
 }
+
+// Guards against a repeated decrease that is acknowledged without what an
+// unread worker may still run for an earlier owner.
+func TestRepeatedAllotCountsUnreadWorkers(t *testing.T) {
+	f := newFixture(t, 2)
+	f.dead["w1"] = true
+	msg := order.AllotMsg{}.WithTeam("tags").WithCount(0).WithVersion(2).WithLimit(100)
+	f.send(msg)
+	f.Equal(len(f.posted), 0)
+	f.step(tickEvent{})
+	f.step(allotmentsResult{records: map[order.TeamName]allotment{"tags": {count: 3, version: 1, limit: 100}}})
+	for range 2 {
+		f.send(msg)
+		f.Equal(f.posted[len(f.posted)-1].(order.AllotAckMsg).Count(), 3)
+	}
+	f.pass(taskLease + leaseMargin)
+	f.send(msg)
+	f.Equal(f.posted[len(f.posted)-1].(order.AllotAckMsg).Count(), 0)
+}
+
+// Guards against a start that is repeated on a worker that ran the task and
+// then lost it in a crash.
+func TestStartIsNotRepeatedAfterACrash(t *testing.T) {
+	f := newFixture(t, 1).ready()
+	task := newTask("tags", "a", 1000)
+	f.hold = true
+	f.run(task)
+	f.crashes = "+1"
+	f.step(listResult{worker: "w0", listing: crane.NewListing(f.stamp(), nil, nil)})
+	f.slow = true
+	f.step(startResult{worker: "w0", ref: refOfStart(f.starts[0].start), err: crane.ErrUncertain})
+	f.pass(stampLife)
+	f.Equal(len(f.starts), 1)
+	ended, ok := f.ended(task)
+	f.True(ok)
+	f.Equal(ended.Outcome().Code(), order.OutcomeUnknown)
+	f.True(!ended.NotStarted())
+}
+
+// Guards against a repeated start whose refusal is taken as proof that the
+// first one, whose answer was lost, did not arrive.
+func TestRefusedRepeatProvesNothing(t *testing.T) {
+	f := newFixture(t, 1).ready()
+	task := newTask("tags", "a", 1000)
+	f.hold = true
+	f.run(task)
+	f.step(startResult{worker: "w0", ref: refOfStart(f.starts[0].start), err: crane.ErrUncertain})
+	f.pass(startRetry)
+	f.Equal(len(f.starts), 2)
+	f.step(startResult{worker: "w0", ref: refOfStart(f.starts[1].start), err: crane.NewRefusedError(crane.ReasonNoRoom)})
+	_, ok := f.ended(task)
+	f.True(!ok)
+	f.dead["w0"] = true
+	f.pass(taskLease + 2*time.Second)
+	ended, _ := f.ended(task)
+	f.Equal(ended.Outcome().Code(), order.OutcomeUnknown)
+	f.True(!ended.NotStarted())
+}
--- a/berth/sim_partition_test.go
+++ b/berth/sim_partition_test.go
@@ -213,6 +213,9 @@
 	delete(s.lowering, msg.Team())
 	next.count = msg.Count()
 	s.recorded[msg.Team()] = next
+	for _, id := range sortedKeys(s.tasks) {
+		s.note(id, "recorded %d for %s, acknowledged by epoch %d", next.count, msg.Team(), msg.Epoch())
+	}
 }
 
 // Replaces the owner after its promise has ended. The former owner dies, or
@@ -230,4 +233,7 @@
 	s.former = append(s.former, former)
 	s.advance(promise + time.Duration(s.rng.Int64N(int64(2*time.Second))))
 	s.owner = newSimOwner(s, former.epoch+1)
+	for _, id := range sortedKeys(s.tasks) {
+		s.note(id, "epoch %d takes over", s.owner.epoch)
+	}
 }
--- a/berth/sim_test.go
+++ b/berth/sim_test.go
@@ -199,16 +199,18 @@
 	s.registry.Invariant(reserved.fitsIn(newAmount(w.spec.Size())) && len(w.running) <= w.spec.Slots(), "G1",
 		"worker %s runs %d tasks of %v", w.spec.ID(), len(w.running), reserved)
 	team, running := start.Task().Team(), 0
+	var others []order.TaskID
 	for _, other := range s.workers {
 		s.registry.Invariant(other == w || !other.runsTask(id), "G2", "task %s runs on %s and %s", id, other.spec.ID(), w.spec.ID())
 		for _, r := range other.running {
 			if r.start.Task().Team() == team && r.lease.After(s.now) {
 				running++
+				others = append(others, r.start.Task().ID())
 			}
 		}
 	}
 	s.registry.Invariant(running <= s.recorded[team].count, "G4",
-		"team %s runs %d of %d", team, running, s.recorded[team].count)
+		"start of %s at epoch %d: team %s runs %v of %d", id, start.Epoch(), team, others, s.recorded[team].count)
 	s.registry.Invariant(!s.notStarted[ref], "G7", "%v runs after it was reported as not started", ref)
 	s.registry.Invariant(!s.ran[ref], "G8", "%v runs twice", ref)
 	s.ran[ref] = true
