--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -6,7 +6,8 @@
 #
 # Logs go to out/DEPLOYMENT/. The process IDs are in the arrays gates, placers
 # and standins. PORT_OFFSET, a multiple of 1000, is added to all ports, so that
-# several clusters can run on one machine.
+# several clusters can run on one machine. PLACER_SETTINGS is added to the
+# settings of the placers, for example '"policy": {"cooldown": false},'.
 
 gates=()
 placers=()
@@ -81,7 +82,8 @@
 	for i in $(seq "$hosts"); do
 		local domain=${domains[$(((i - 1) % ${#domains[@]}))]}
 		host_settings "examples/$deployment/gate.json" "$i" "$domain" >"$out/gate$i.json"
-		host_settings "examples/$deployment/placer.json" "$i" "$domain" >"$out/placer$i.json"
+		host_settings "examples/$deployment/placer.json" "$i" "$domain" |
+			sed -e "s/^{\$/{${PLACER_SETTINGS:-}/" >"$out/placer$i.json"
 		start_placer "$i"
 		start_gate "$i"
 		gate_urls+=("http://127.0.0.1:${ports}${i}12")
--- /dev/null
+++ b/till/bench_test.go
@@ -0,0 +1,118 @@
+package till_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"chervilhollow/gauge"
+	"chervilhollow/logbook"
+	"chervilhollow/order"
+	"chervilhollow/sheet"
+	"chervilhollow/till"
+)
+
+type noRecorder struct{}
+
+func (noRecorder) Add(logbook.Record) (logbook.Token, error) { return 0, nil }
+func (noRecorder) Cancel(logbook.Token) bool                 { return true }
+
+const benchRack = 8
+
+// benchMachine returns a queue that knows the digests of so many workers in
+// racks of 8, of which one group in four has free room.
+func benchMachine(workers int) (*till.Machine, time.Time) {
+	now := time.Unix(1000, 0)
+	m := till.NewMachine(now, testPartition, 1, noRecorder{}, gauge.New(zerolog.Nop()), nil, till.WithSeed(1), till.WithLimit(1<<30))
+	size := order.Resources{}.WithCores(64000).WithMemory(256 << 30)
+	config := sheet.NewConfig(1).WithTeam(sheet.NewTeam(testTeam, 1, 8*workers))
+	var (
+		digests []order.GroupDigest
+		ids     []order.GroupID
+	)
+	for i := range max(1, workers/benchRack) {
+		id := order.NewGroupID(order.DomainName(fmt.Sprintf("d%d", i%30)), fmt.Sprintf("r%d", i))
+		free := 0
+		if i%4 == 0 {
+			free = 8
+		}
+		ids = append(ids, id)
+		digests = append(digests, order.GroupDigest{}.WithGroup(id).WithDomain(id.Domain()).WithEpoch(1).
+			WithFree(size).WithLargest(size).WithFreeSlots(free).WithWorkers(benchRack).WithSlots(8*benchRack).
+			WithRunning(map[order.TeamName]int{testTeam: 8*benchRack - free}).
+			WithAllotted(map[order.TeamName]int{testTeam: 8 * benchRack}))
+	}
+	m.Observe(now, till.NewObservation().WithConfig(config).WithGroups(ids).WithDigests(digests).
+		WithOwned(func(order.GroupID) bool { return true }))
+	return m, now
+}
+
+// BenchmarkDecision measures one placement decision of a queue: the choice of
+// groups for a new request, the first offer, and its outcome.
+func BenchmarkDecision(b *testing.B) {
+	for _, workers := range []int{50, 1000, 12000} {
+		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
+			m, now := benchMachine(workers)
+			b.ReportAllocs()
+			n := 0
+			for b.Loop() {
+				n++
+				decide(b, m, now, n)
+			}
+		})
+	}
+}
+
+// decide runs one request through the queue.
+func decide(b *testing.B, m *till.Machine, now time.Time, n int) {
+	request := order.Request{}.WithID(order.RequestID(fmt.Sprintf("r%d", n))).WithTeam(testTeam).WithKind(order.Preview).
+		WithIdempotent(true).WithFresh(true).WithTasks(1).WithSize(order.Resources{}.WithCores(1000).WithMemory(1 << 29)).
+		WithDeadline(now.Add(time.Minute))
+	var bid order.BidMsg
+	for _, c := range m.Handle(now, "gate", order.SubmitMsg{}.WithPartition(testPartition).WithRequest(request).WithSequence(uint64(n))) {
+		if post, ok := c.(till.PostCmd); ok {
+			bid, _ = post.Msg().(order.BidMsg)
+		}
+	}
+	group, ok := bid.Partition().Group()
+	if !ok {
+		b.Fatal("no bid was sent")
+	}
+	m.Handle(now, placerID, order.OfferMsg{}.WithPartition(testPartition).WithTask(bid.Task().ID()).WithAttempt(bid.Attempt()).
+		WithGroup(group).WithEpoch(1).WithHold(fakeHold))
+	outcome := order.Outcome{}.WithTask(bid.Task().ID()).WithAttempt(bid.Attempt()).WithCode(order.Done).WithStarted(now).WithEnded(now)
+	m.Handle(now, placerID, order.EndedMsg{}.WithPartition(testPartition).WithGroup(group).WithOutcome(outcome).WithEpoch(1))
+	if m.Open() > 0 {
+		b.Fatal("the request did not end")
+	}
+}
+
+// BenchmarkObserve measures the digests of all groups that a queue takes over
+// twice a second.
+func BenchmarkObserve(b *testing.B) {
+	for _, workers := range []int{50, 1000, 12000} {
+		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
+			m, now := benchMachine(workers)
+			o := observationOf(workers)
+			b.ReportAllocs()
+			for b.Loop() {
+				m.Observe(now, o)
+			}
+		})
+	}
+}
+
+func observationOf(workers int) till.Observation {
+	var (
+		digests []order.GroupDigest
+		ids     []order.GroupID
+	)
+	for i := range max(1, workers/benchRack) {
+		id := order.NewGroupID(order.DomainName(fmt.Sprintf("d%d", i%30)), fmt.Sprintf("r%d", i))
+		ids = append(ids, id)
+		digests = append(digests, order.GroupDigest{}.WithGroup(id).WithDomain(id.Domain()).WithEpoch(1).WithWorkers(benchRack))
+	}
+	return till.NewObservation().WithGroups(ids).WithDigests(digests).WithOwned(func(order.GroupID) bool { return true })
+}
