--- a/cmd/measure/phase.go
+++ b/cmd/measure/phase.go
@@ -112,6 +112,17 @@
 	return most
 }
 
+// traffic returns the bytes per second that the processes of a role read and
+// wrote.
+func (p phase) traffic(role string) float64 {
+	return float64(p.last().costs[role].traffic-p.first().costs[role].traffic) / p.seconds()
+}
+
+// resident returns the mean memory of all processes of a role together.
+func (p phase) resident(role string) float64 {
+	return p.mean(func(r reading) float64 { return float64(r.costs[role].bytes) })
+}
+
 // calls returns the store's calls per second by kind.
 func (p phase) calls() map[string]float64 {
 	rates := make(map[string]float64)
--- a/cmd/measure/report.go
+++ b/cmd/measure/report.go
@@ -25,7 +25,7 @@
 	}
 	fmt.Fprintln(out)
 	fmt.Fprintln(out, "| phase | "+strings.Join(costHeader(roles), " | ")+" | store calls/s |")
-	fmt.Fprintln(out, "|---"+strings.Repeat("|---", 3*len(roles)+1)+"|")
+	fmt.Fprintln(out, "|---"+strings.Repeat("|---", 4*len(roles)+1)+"|")
 	for _, p := range phases {
 		fmt.Fprintf(out, "| %s | %s | %s |\n", p.name, strings.Join(p.costCells(roles), " | "), p.callsText())
 	}
@@ -35,7 +35,7 @@
 func costHeader(roles []string) []string {
 	var header []string
 	for _, role := range roles {
-		header = append(header, role+": cores", role+": CPU ms per start", role+": MiB of the largest")
+		header = append(header, role+": cores", role+": CPU ms per start", role+": MiB of the largest", role+": KB/s read and written")
 	}
 	return header
 }
@@ -47,7 +47,8 @@
 		if rate := p.startedRate(); rate >= 1 {
 			perStart = fmt.Sprintf("%.2f", 1000*p.cpu(role)/rate)
 		}
-		cells = append(cells, fmt.Sprintf("%.3f", p.cpu(role)), perStart, strconv.FormatInt(p.bytes(role)/mebibyte, 10))
+		cells = append(cells, fmt.Sprintf("%.3f", p.cpu(role)), perStart, strconv.FormatInt(p.bytes(role)/mebibyte, 10),
+			fmt.Sprintf("%.1f", p.traffic(role)/1000))
 	}
 	return cells
 }
@@ -106,14 +107,14 @@
 func phasesTable(phases []phase, roles []string) [][]string {
 	header := []string{"phase", "seconds", "started_per_s", "completed_per_s", "slots_mean", "dominant_mean"}
 	for _, role := range roles {
-		header = append(header, role+"_cores", role+"_largest_bytes")
+		header = append(header, role+"_cores", role+"_largest_bytes", role+"_resident_bytes", role+"_bytes_per_s")
 	}
 	rows := [][]string{append(header, "store_calls_per_s")}
 	for _, p := range phases {
 		row := []string{p.name, number(p.seconds()), number(p.startedRate()), number(p.doneRate()),
 			number(p.mean(reading.slots)), number(p.mean(reading.dominant))}
 		for _, role := range roles {
-			row = append(row, number(p.cpu(role)), strconv.FormatInt(p.bytes(role), 10))
+			row = append(row, number(p.cpu(role)), strconv.FormatInt(p.bytes(role), 10), number(p.resident(role)), number(p.traffic(role)))
 		}
 		rows = append(rows, append(row, p.callsText()))
 	}
--- a/cmd/measure/sampler.go
+++ b/cmd/measure/sampler.go
@@ -35,6 +35,7 @@
 		cpu       time.Duration
 		bytes     int64
 		largest   int64
+		traffic   int64
 	}
 )
 
@@ -88,6 +89,7 @@
 		c.cpu += cpu
 		c.bytes += bytes
 		c.largest = max(c.largest, bytes)
+		c.traffic += trafficOf(p.pid)
 		r.costs[p.role] = c
 	}
 	return r, nil
@@ -136,6 +138,28 @@
 	return pages * int64(os.Getpagesize()), err
 }
 
+// trafficOf returns the bytes that a process has read and written, most of
+// them over its connections; zero if they cannot be read.
+func trafficOf(pid int) int64 {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/io", pid))
+	if err != nil {
+		return 0
+	}
+	total := int64(0)
+	for _, line := range strings.Split(string(data), "\n") {
+		name, value, _ := strings.Cut(line, ": ")
+		if name != "rchar" && name != "wchar" {
+			continue
+		}
+		n, err := strconv.ParseInt(value, 10, 64)
+		if err != nil {
+			return 0
+		}
+		total += n
+	}
+	return total
+}
+
 // slots returns the used part of the slots.
 func (r reading) slots() float64 {
 	running := 0
--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -7,7 +7,8 @@
 # Logs go to out/DEPLOYMENT/. The process IDs are in the arrays gates, placers
 # and standins. PORT_OFFSET, a multiple of 1000, is added to all ports, so that
 # several clusters can run on one machine. PLACER_SETTINGS is added to the
-# settings of the placers, for example '"policy": {"cooldown": false},'.
+# settings of the placers, for example '"policy": {"cooldown": false},'. WORKERS changes
+# the number of workers.
 
 gates=()
 placers=()
@@ -49,7 +50,7 @@
 }
 
 start_standins() {
-	shift_ports <"examples/$1/hosts.json" >"$out/hosts.json"
+	shift_ports <"examples/$1/hosts.json" | sed -e "s/\"count\": [0-9]*/\"count\": ${WORKERS:-50}/" >"$out/hosts.json"
 	bin/standin-store -listen "127.0.0.1:${ports}400" >"$out/store.log" 2>&1 &
 	standins+=($!)
 	bin/standin-hosts -listen "127.0.0.1:${ports}500" -file "$out/hosts.json" >"$out/hosts.log" 2>&1 &
--- a/till/bench_test.go
+++ b/till/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -116,3 +117,31 @@
 	}
 	return till.NewObservation().WithGroups(ids).WithDigests(digests).WithOwned(func(order.GroupID) bool { return true })
 }
+
+// BenchmarkWaitingMemory measures the memory of a waiting request with a
+// payload of 200 bytes.
+func BenchmarkWaitingMemory(b *testing.B) {
+	for _, requests := range []int{1000, 10000, 50000} {
+		b.Run(fmt.Sprintf("requests=%d", requests), func(b *testing.B) {
+			for b.Loop() {
+				before := heapBytes()
+				m, now := benchMachine(50)
+				for n := range requests {
+					request := order.Request{}.WithID(order.RequestID(fmt.Sprintf("r%d", n))).WithTeam(testTeam).WithKind(order.Batch).
+						WithIdempotent(true).WithFresh(true).WithTasks(1).WithSize(order.Resources{}.WithCores(1000)).
+						WithDeadline(now.Add(time.Minute)).WithPayload(make([]byte, 200))
+					m.Handle(now, "gate", order.SubmitMsg{}.WithPartition(testPartition).WithRequest(request).WithSequence(uint64(n)))
+				}
+				b.ReportMetric(float64(heapBytes()-before)/float64(m.Open()), "bytes/request")
+			}
+		})
+	}
+}
+
+func heapBytes() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
