Keep the outcome of a gang task whose earlier hold expired

A hold that expired left a note that made a later outcome of the same attempt count as already reported: the group acknowledged it to the worker and lost it. A start of unknown fate is repeated at most five times, and refusals that tell of a run of the task no longer count as not started or move it.

--- a/berth/entry.go
+++ b/berth/entry.go
@@ -28,6 +28,7 @@
 		startStamp crane.Stamp
 		inFlight   int
 		uncertain  bool
+		sends      int
 		retryAt    time.Time
 		confirmed  bool
 		seenStamp  crane.Stamp
--- a/berth/machine_rapid_test.go
+++ b/berth/machine_rapid_test.go
@@ -1,6 +1,7 @@
 package berth
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -110,10 +111,15 @@
 	}
 	for _, id := range sortedKeys(s.tasks) {
 		if task := s.tasks[id]; task.phase != phaseDone {
-			s.t.Errorf("task %s attempt %d is still in phase %d", id, task.attempt, task.phase)
+			s.t.Errorf("task %s attempt %d is still in phase %d:\n%s", id, task.attempt, task.phase,
+				strings.Join(s.history[id][:min(60, len(s.history[id]))], "\n"))
 		}
 	}
 	m := s.owner.machine
+	for _, e := range m.inOrder(m.entries) {
+		s.t.Errorf("entry %s attempt %d on %s: %+v", e.task.ID(), e.attempt, e.host.id(), *e)
+		s.t.Errorf("host: %+v", *e.host)
+	}
 	s.t.Fatalf("not settled: %d entries, %d bids, live %v, held %v", len(m.entries), m.bids.len(), m.live, m.held)
 }
 
--- a/berth/machine_test.go
+++ b/berth/machine_test.go
@@ -702,3 +702,39 @@
 	f.Equal(ended.Outcome().Code(), order.OutcomeUnknown)
 	f.True(!ended.NotStarted())
 }
+
+// Guards against an outcome that is acknowledged to the worker, and so lost,
+// because an earlier hold of the same attempt had expired.
+func TestOutcomeAfterExpiredHold(t *testing.T) {
+	f := newFixture(t, 1).ready()
+	task := newTask("tags", "gang", 1000)
+	hold := order.HoldMsg{}.WithRequest("gang").WithTasks([]order.Task{task}).WithAttempt(1)
+	f.send(hold)
+	f.pass(gangHold + tickPeriod)
+	f.send(hold)
+	f.confirm(task)
+	f.Equal(len(f.starts), 1)
+	f.end(f.starts[0], order.Done, time.Second)
+	ended, ok := f.ended(task)
+	f.True(ok)
+	f.Equal(ended.Outcome().Code(), order.Done)
+}
+
+// Guards against an attempt that is moved to another worker while an earlier
+// attempt runs, and against an attempt that ran and is reported as not
+// started.
+func TestRefusalsThatTellOfRuns(t *testing.T) {
+	f := newFixture(t, 2).ready()
+	f.hold = true
+	first, second := newTask("tags", "a", 1000), newTask("tags", "b", 1000)
+	f.run(first)
+	f.step(startResult{worker: f.starts[0].worker, ref: refOfStart(f.starts[0].start), err: crane.NewRefusedError(crane.ReasonOther)})
+	f.run(second)
+	f.step(startResult{worker: f.starts[1].worker, ref: refOfStart(f.starts[1].start), err: crane.NewRefusedError(crane.ReasonForgotten)})
+	f.Equal(len(f.starts), 2)
+	ended, _ := f.ended(first)
+	f.True(ended.NotStarted())
+	ended, _ = f.ended(second)
+	f.Equal(ended.Outcome().Code(), order.OutcomeUnknown)
+	f.True(!ended.NotStarted())
+}
--- a/berth/placement.go
+++ b/berth/placement.go
@@ -326,6 +326,7 @@
 
 func (m *machine) enter(e *entry, h *host) {
 	m.entries[e.task.ID()] = e
+	delete(m.settled, e.ref())
 	e.load = e.reserved.dominant(m.capacity)
 	h.add(e)
 	m.count(e, 1)
--- a/berth/starts.go
+++ b/berth/starts.go
@@ -10,6 +10,10 @@
 )
 
 const (
+	// A start whose answer stays open is repeated so often; then the lease and
+	// the worker's list decide.
+	maxSends = 5
+
 	// An offer that was not answered so often is given up; the partition bids
 	// again if it still wants room.
 	maxOffers = 4
@@ -106,6 +110,7 @@
 	e.leaseBase = h.stampAt
 	e.startStamp = h.stamp
 	e.inFlight++
+	e.sends++
 	m.checkStart(e)
 	start := crane.NewStart(e.task, e.attempt, m.epoch, taskLease, h.stamp).
 		WithReserved(e.reserved.resources())
@@ -164,9 +169,18 @@
 	if reason != crane.ReasonFailing {
 		m.relist(now, e.host)
 	}
-	if e.uncertain {
+	switch {
+	case reason == crane.ReasonForgotten:
+		// The attempt has run here and its outcome was acknowledged.
+		m.lost(now, e)
+		return
+	case e.uncertain:
 		e.retryAt = now.Add(startRetry)
 		return
+	case reason == crane.ReasonOther:
+		// Another attempt may run here, so this one is not moved elsewhere.
+		m.fail(now, e, order.QueueFull, "another attempt of the task is on the worker")
+		return
 	}
 	m.restart(now, e, "the worker refused the start: "+reason)
 }
@@ -299,7 +313,7 @@
 		m.lost(now, e)
 		return
 	}
-	if now.Before(e.retryAt) || now.After(e.leaseBase.Add(stampLife)) || e.stopping {
+	if e.sends >= maxSends || now.Before(e.retryAt) || now.After(e.leaseBase.Add(stampLife)) || e.stopping {
 		return
 	}
 	if m.usable(now, e.host, e.task.ID()) && m.mayAct() {
