--- a/till/attempt.go
+++ b/till/attempt.go
@@ -178,6 +178,7 @@
 		return
 	}
 	t.state = taskRunning
+	t.job.ran = true
 	t.worker = msg.Worker()
 	t.group = msg.Group()
 	t.epoch = m.view.epoch(t.group)
@@ -323,6 +324,7 @@
 	if notStarted {
 		j.unstarted++
 	}
+	j.ran = j.ran || !notStarted && o.Code().Run() == order.RunYes
 	if t.broken >= maxBroken {
 		o = o.WithCode(order.AnswerIncomplete).WithBody(nil)
 	}
--- a/till/conclude.go
+++ b/till/conclude.go
@@ -91,15 +91,23 @@
 	}
 	o := decisive.outcome
 	if o.Code().Run() == order.RunNo && j.mayHaveRun() {
-		code := order.TaskFailed
-		if j.cancelled {
-			code = order.CancelledRunning
-		}
-		o = o.WithCode(code).WithText("")
+		o = o.WithCode(j.codeOfEarlier()).WithText("")
 	}
 	m.finish(j, o)
 }
 
+// codeOfEarlier returns the code of a job whose last attempt did not start, but
+// an earlier one may have.
+func (j *job) codeOfEarlier() order.Code {
+	switch {
+	case !j.ran:
+		return order.OutcomeUnknown
+	case j.cancelled:
+		return order.CancelledRunning
+	}
+	return order.TaskFailed
+}
+
 // weight orders the outcomes of the tasks of one request.
 func (t *task) weight() int {
 	switch code := t.outcome.Code(); {
@@ -117,6 +125,7 @@
 // "not run" of a request that a successor would find in the journal and run.
 func (m *Machine) finish(j *job, o order.Outcome) {
 	code := o.Code()
+	held := j.accepted != writeNone && code.Run() == order.RunNo && code != order.DeadlineBeforeRun
 	if j.doubtful && code >= order.QueueFull && code.Run() == order.RunNo {
 		code = order.OutcomeUnknown
 		o = o.WithCode(code).WithText("")
@@ -131,7 +140,6 @@
 	m.registry.Count("till.ended." + code.String())
 	j.outcome = m.complete(j, o)
 	j.finished = m.now
-	held := j.accepted != writeNone && code.Run() == order.RunNo && code != order.DeadlineBeforeRun
 	j.phase = phaseDone
 	if j.journaled() {
 		m.recordEnd(j)
--- a/till/gang.go
+++ b/till/gang.go
@@ -350,7 +350,7 @@
 	}
 	code := j.codeOf(cause, cause.unstarted)
 	if code.Run() == order.RunNo && j.mayHaveRun() {
-		code = order.TaskFailed
+		code = j.codeOfEarlier()
 	}
 	m.finish(j, cause.outcome.WithCode(code))
 }
--- a/till/group_test.go
+++ b/till/group_test.go
@@ -190,7 +190,7 @@
 		w.fail("task %s, which is not idempotent, starts for the %d. time\n%s", id, w.starts[id], w.last(80))
 	}
 	if code := w.refused[key]; code != order.Done {
-		w.fail("task %s starts after the request was answered %s\n%s", id, code, w.last(80))
+		w.fail("task %s starts after the request was answered %s\n%s", id, code, w.about(e.task.Request()))
 	}
 	w.running[id] = g.id
 	e.state = order.TaskRunning
--- a/till/job.go
+++ b/till/job.go
@@ -57,6 +57,8 @@
 		confirms  int
 		unstarted int
 		resumed   int
+		// ran tells that an attempt certainly started.
+		ran bool
 
 		gang   gang
 		wakeAt time.Time
--- a/till/recover.go
+++ b/till/recover.go
@@ -209,6 +209,7 @@
 	t.resendAt = m.now.Add(confirmPeriod)
 	t.sent = 1
 	t.job.confirms++
+	t.job.ran = t.job.ran || state == taskRunning
 	if t.job.phase == phaseOpen && t.job.cancelled {
 		m.stop(t)
 	}
--- a/till/till_test.go
+++ b/till/till_test.go
@@ -320,15 +320,12 @@
 	w.run(500 * time.Millisecond)
 	w.takeOver()
 	late := w.inventoryReply(order.InventoryMsg{}.WithPartition(testPartition).WithEpoch(w.epoch))
+	w.noInventory = true
 	for _, g := range w.groups {
 		g.loseWorker(w)
-		g.owned = false // no inventory of its own before the late one
 	}
 	w.run(50 * time.Millisecond)
 	w.execute(w.machine.Handle(w.now(), placerID, late))
-	for _, g := range w.groups {
-		g.owned = true
-	}
 	w.run(5 * time.Second)
 	s := w.follow("gate1", "a")
 	w.run(time.Second)
--- a/till/world_test.go
+++ b/till/world_test.go
@@ -61,14 +61,15 @@
 
 		// starts counts the starts of each task, running the groups where it
 		// runs, and refused the requests that were last answered "not run".
-		starts  map[order.TaskID]int
-		running map[order.TaskID]order.GroupID
-		since   map[logbook.Key]int
-		refused map[logbook.Key]order.Code
-		sent    map[logbook.Key]order.Request
-		history []string
-		owed    map[string]int
-		paid    map[string]int
+		starts      map[order.TaskID]int
+		running     map[order.TaskID]order.GroupID
+		since       map[logbook.Key]int
+		refused     map[logbook.Key]order.Code
+		sent        map[logbook.Key]order.Request
+		noInventory bool
+		history     []string
+		owed        map[string]int
+		paid        map[string]int
 		// acceptOnly are the detached submissions, which get no outcome.
 		acceptOnly map[string]bool
 		sequence   uint64
@@ -404,7 +405,7 @@
 		}
 		return text
 	case order.SubmitMsg:
-		return fmt.Sprintf("submit %s fresh %t", m.Request().ID(), m.Request().Fresh())
+		return fmt.Sprintf("submit %s  fresh %t", m.Request().ID(), m.Request().Fresh())
 	}
 	return fmt.Sprintf("%T", msg)
 }
@@ -439,6 +440,7 @@
 		return
 	}
 	if a, ok := c.Msg().(order.AnswerMsg); ok && a.Final() {
+		w.note("answer %s to %s: %s", a.Request(), c.To(), a.Code())
 		w.checkAnswer(c.To(), a)
 	}
 	w.transmit(packet{gate: c.To(), msg: c.Msg()})
@@ -462,18 +464,20 @@
 	switch a.Code().Run() {
 	case order.RunNo:
 		if w.since[key] > 0 {
-			w.fail("%s is answered %s but started %d times", a.Request(), a.Code(), w.since[key])
+			w.fail("%s is answered %s but started %d times\n%s", a.Request(), a.Code(), w.since[key], w.about(a.Request()))
 		}
 		w.refused[key] = a.Code()
 	case order.RunYes:
 		if w.since[key] == 0 {
-			w.fail("%s is answered %s but never started", a.Request(), a.Code())
+			w.fail("%s is answered %s but never started\n%s", a.Request(), a.Code(), w.about(a.Request()))
 		}
 	}
 }
 
 func (w *world) answerInventory(m order.InventoryMsg) {
-	w.transmit(packet{from: placerID, msg: w.inventoryReply(m)})
+	if !w.noInventory {
+		w.transmit(packet{from: placerID, msg: w.inventoryReply(m)})
+	}
 }
 
 func (w *world) inventoryReply(m order.InventoryMsg) order.InventoryReplyMsg {
