--- a/berth/placement.go
+++ b/berth/placement.go
@@ -70,7 +70,7 @@
 		return order.TooLarge, "no worker of the group can hold the task"
 	case !task.Deadline().IsZero() && !now.Before(task.Deadline()):
 		return order.DeadlineBeforeRun, "the deadline has passed"
-	case m.bids.len() >= maxBids:
+	case m.bids.len() >= m.deps.bidLimit:
 		return order.QueueFull, "too many waiting bids"
 	}
 	return order.Done, ""
@@ -122,6 +122,7 @@
 	}
 	m.bidsAt = now.Add(bidPeriod)
 	m.saveWorker(now)
+	m.wantAllotments()
 	for _, b := range m.bids.inOrder() {
 		if code, text := m.refusal(now, b.task); code != order.Done && code != order.QueueFull {
 			m.bids.remove(b.task.ID())
@@ -235,6 +236,9 @@
 
 // Returns the use of a team relative to its share.
 func (m *machine) teamLoad(team order.TeamName) float64 {
+	if m.deps.policy.arrivalOrder {
+		return 0
+	}
 	t, ok := m.deps.current().Team(team)
 	if !ok || t.Share() <= 0 {
 		return 1e9
@@ -254,7 +258,7 @@
 		if h == except || h == m.saved && task.ID() != m.savedFor || !h.fits(size) || plain && h.size.accelerators > 0 || !m.usable(now, h, task.ID()) {
 			continue
 		}
-		left := m.leftover(h, size)
+		left := m.score(h, size)
 		if best == nil || left < score {
 			best, score = h, left
 		}
@@ -318,7 +322,7 @@
 func (m *machine) reserve(e *entry, h *host) {
 	m.enter(e, h)
 	h.cooldown.reserved(e.task.ID())
-	m.deps.registry.Invariant(h.freeSlots() >= 0 && h.reserved.fitsIn(h.size), "G1",
+	m.deps.registry.Invariant(!h.crowded(), "G1",
 		"worker %s of size %v and %d slots has %v and %d tasks reserved",
 		h.id(), h.size, h.slots(), h.reserved, len(h.tasks))
 }
--- a/sample/workers.go
+++ b/sample/workers.go
@@ -39,6 +39,7 @@
 		running     map[order.TaskID]*run
 		ended       map[order.TaskID]*workerOutcome
 		forgotten   map[workerRef]time.Time
+		purged      time.Time
 		changed     chan struct{}
 		resumed     chan struct{}
 		mode        workerMode
@@ -235,6 +236,7 @@
 	}
 	delete(w.running, r.start.Task)
 	w.parent.audit.ended(w, r)
+	w.parent.audit.finished(r.start.Task, status)
 	w.sequence++
 	w.ended[r.start.Task] = newWorkerOutcome(r, w.sequence, status, now)
 	w.notify()
@@ -255,11 +257,20 @@
 		}
 		delete(w.running, id)
 		w.parent.audit.ended(w, r)
+		w.parent.audit.finished(id, statusLapsed)
 		w.sequence++
 		w.ended[id] = newWorkerOutcome(r, w.sequence, statusLapsed, now)
 		r.signal(statusLapsed)
 		w.notify()
 	}
+	w.purgeForgotten(now)
+}
+
+func (w *worker) purgeForgotten(now time.Time) {
+	if now.Sub(w.purged) < time.Second {
+		return
+	}
+	w.purged = now
 	for ref, until := range w.forgotten {
 		if !until.After(now) {
 			delete(w.forgotten, ref)
@@ -270,6 +281,7 @@
 func (w *worker) crash() {
 	for _, r := range w.running {
 		w.parent.audit.ended(w, r)
+		w.parent.audit.finished(r.start.Task, statusCrashed)
 		r.signal(statusCrashed)
 	}
 	w.reset()
