Hand the state of queues and groups over at a planned move

A queue now drains: it waits up to 1 s for starts on their way to the store and names those that were certainly not confirmed.

--- a/till/attempt.go
+++ b/till/attempt.go
@@ -92,7 +92,7 @@
 
 func (m *Machine) startRecorded(j *job) {
 	j.starting = writeDone
-	if j.phase == phaseOpen {
+	if j.phase == phaseOpen && !m.draining {
 		m.startHeld(j)
 	}
 }
--- /dev/null
+++ b/till/drain_test.go
@@ -0,0 +1,120 @@
+package till
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"chervilhollow/gauge"
+	"chervilhollow/logbook"
+	"chervilhollow/order"
+	"chervilhollow/sheet"
+)
+
+const (
+	drainPartition = order.PartitionID("r/03")
+	drainGroup     = order.GroupID("east/r1")
+	drainPlacer    = order.MemberID("10.0.0.1:1/p")
+)
+
+// memoryRecorder keeps the records until the test completes them.
+type memoryRecorder struct{ records []logbook.Record }
+
+func (r *memoryRecorder) Add(record logbook.Record) (logbook.Token, error) {
+	r.records = append(r.records, record)
+	return logbook.Token(len(r.records)), nil
+}
+
+func (*memoryRecorder) Cancel(logbook.Token) bool { return false }
+
+func drainMachine(now time.Time, epoch order.Epoch, recorder Recorder, records []logbook.Record) *Machine {
+	m := NewMachine(now, drainPartition, epoch, recorder, gauge.New(zerolog.Nop()), records)
+	size := order.Resources{}.WithCores(64000).WithMemory(1 << 38)
+	m.Observe(now, NewObservation().
+		WithConfig(sheet.NewConfig(1).WithTeam(sheet.NewTeam("toys", 1, 100))).
+		WithGroups([]order.GroupID{drainGroup}).
+		WithPlacers([]order.MemberID{drainPlacer}).
+		WithOwned(func(order.GroupID) bool { return true }).
+		WithDigests([]order.GroupDigest{order.GroupDigest{}.
+			WithGroup(drainGroup).WithDomain("east").WithEpoch(1).WithWorkers(8).WithSlots(64).
+			WithFree(size).WithFreeSlots(64).WithLargest(size).WithCapacity(size).
+			WithAllotted(map[order.TeamName]int{"toys": 64})}))
+	return m
+}
+
+func recoverMachine(m *Machine, now time.Time, epoch order.Epoch) []Command {
+	return m.Handle(now, drainPlacer, order.InventoryReplyMsg{}.
+		WithPartition(drainPartition).WithEpoch(epoch).WithGroups([]order.GroupID{drainGroup}))
+}
+
+// journaledStart returns a machine whose journal is about to hold the start of
+// a non-idempotent request that has an offer.
+func journaledStart(t *testing.T, now time.Time) (*Machine, *memoryRecorder) {
+	t.Helper()
+	recorder := &memoryRecorder{}
+	m := drainMachine(now, 1, recorder, nil)
+	recoverMachine(m, now, 1)
+	request := order.Request{}.WithID("r1").WithTeam("toys").WithKind(order.Batch).WithTasks(1).
+		WithSize(order.Resources{}.WithCores(1000).WithMemory(1 << 20)).
+		WithDeadline(now.Add(time.Minute)).WithReceived(now)
+	var bid order.BidMsg
+	for _, c := range m.Handle(now, "gate", order.SubmitMsg{}.WithPartition(drainPartition).WithRequest(request)) {
+		if post, ok := c.(PostCmd); ok {
+			bid, _ = post.Msg().(order.BidMsg)
+		}
+	}
+	m.Handle(now, drainPlacer, order.OfferMsg{}.WithTask(bid.Task().ID()).WithAttempt(bid.Attempt()).
+		WithGroup(drainGroup).WithEpoch(1).WithHold(500*time.Millisecond))
+	if len(recorder.records) != 1 || recorder.records[0].Kind() != logbook.Starting {
+		t.Fatalf("the start was not journaled: %d records", len(recorder.records))
+	}
+	return m, recorder
+}
+
+// Guards against a planned move that answers "outcome unknown" for a request
+// whose start is in the journal, but was certainly not confirmed.
+func TestDrainHandsUnconfirmedStartsOver(t *testing.T) {
+	is := is.New(t)
+	now := time.Date(2026, 12, 4, 9, 0, 0, 0, time.UTC)
+	m, recorder := journaledStart(t, now)
+	m.draining = true
+	is.True(m.writing())
+	for _, c := range m.Recorded(now, 1, nil) {
+		if post, ok := c.(PostCmd); ok {
+			_, confirms := post.Msg().(order.ConfirmMsg)
+			is.True(!confirms) // nothing may start after the state was taken
+		}
+	}
+	is.True(!m.writing())
+	state := m.export()
+	successor := drainMachine(now, 2, &memoryRecorder{}, recorder.records)
+	is.NoErr(successor.importState(state))
+	recoverMachine(successor, now, 2)
+	is.Equal(successor.jobs[logbook.Key{Team: "toys", Request: "r1"}].phase, phaseOpen)
+}
+
+// Guards against a start that may have happened and is taken as not confirmed:
+// without the state, or after a confirmation, the outcome stays unknown.
+func TestDrainKeepsConfirmedStartsUnknown(t *testing.T) {
+	is := is.New(t)
+	now := time.Date(2026, 12, 4, 9, 0, 0, 0, time.UTC)
+	m, recorder := journaledStart(t, now)
+	confirmed := false
+	for _, c := range m.Recorded(now, 1, nil) {
+		if post, ok := c.(PostCmd); ok {
+			_, confirms := post.Msg().(order.ConfirmMsg)
+			confirmed = confirmed || confirms
+		}
+	}
+	is.True(confirmed)
+	m.draining = true
+	for _, state := range [][]byte{nil, m.export()} {
+		successor := drainMachine(now, 2, &memoryRecorder{}, recorder.records)
+		is.NoErr(successor.importState(state))
+		recoverMachine(successor, now, 2)
+		j := successor.jobs[logbook.Key{Team: "toys", Request: "r1"}]
+		is.Equal(j.outcome.Code(), order.OutcomeUnknown)
+	}
+}
--- a/till/job.go
+++ b/till/job.go
@@ -43,6 +43,9 @@
 		// adopted tells that the request is known only from a group's copy of
 		// its tasks.
 		adopted bool
+		// handedOver tells that the former owner journaled the start, but
+		// certainly did not confirm it.
+		handedOver bool
 		// doubtful tells that a former owner may have run the request.
 		doubtful  bool
 		cancelled bool
--- a/till/machine.go
+++ b/till/machine.go
@@ -60,6 +60,9 @@
 		commands []Command
 		stopped  bool
 
+		// draining tells that the partition moves; nothing may start.
+		draining bool
+
 		jobs    map[logbook.Key]*job
 		open    int
 		perTeam map[order.TeamName]int
--- a/till/queue.go
+++ b/till/queue.go
@@ -25,6 +25,8 @@
 		tokens    map[logbook.Token]logbook.Token
 		lastToken logbook.Token
 		kick      chan struct{}
+		state     []byte
+		drain     chan chan []byte
 
 		closing   chan struct{}
 		closeOnce sync.Once
@@ -72,6 +74,7 @@
 		size:      inboxSize,
 		tokens:    make(map[logbook.Token]logbook.Token),
 		kick:      make(chan struct{}, 1),
+		drain:     make(chan chan []byte),
 		closing:   make(chan struct{}),
 		done:      make(chan struct{}),
 	}
@@ -80,6 +83,9 @@
 	}
 	q.inbox = make(chan inbound, q.size)
 	q.machine = NewMachine(deps.clock.Now(), partition, epoch, q, deps.registry, deps.records, q.options...)
+	if err := q.machine.importState(q.state); err != nil {
+		deps.log.Warn().Err(err).Str("partition", string(partition)).Msg("till: starts without a known outcome are answered as unknown")
+	}
 	return q
 }
 
@@ -134,6 +140,9 @@
 			return nil
 		case <-q.closing:
 			return nil
+		case reply := <-q.drain:
+			reply <- q.drained()
+			return nil
 		case in := <-q.inbox:
 			q.execute(q.machine.Handle(q.deps.clock.Now(), in.from, in.msg))
 		case <-q.kick:
--- a/till/recover.go
+++ b/till/recover.go
@@ -243,7 +243,7 @@
 	found := j.mayHaveRun()
 	j.phase = phaseOpen
 	switch {
-	case !found && j.starting == writeDone && !j.repeatable():
+	case !found && j.starting == writeDone && !j.repeatable() && !j.handedOver:
 		// Its start may have been confirmed, and no group knows of it.
 		m.finish(j, order.Outcome{}.WithCode(order.OutcomeUnknown))
 		return
--- a/wharf/open.go
+++ b/wharf/open.go
@@ -59,17 +59,17 @@
 var errHostListUnknown = errors.New("host list not read yet")
 
 // Open implements Opener.
-func (o *opener) Open(ctx context.Context, partition order.PartitionID, epoch order.Epoch) (Part, error) {
+func (o *opener) Open(ctx context.Context, partition order.PartitionID, epoch order.Epoch, state []byte) (Part, error) {
 	if partition.IsRequest() {
-		return o.openQueue(ctx, partition, epoch)
+		return o.openQueue(ctx, partition, epoch, state)
 	}
-	return o.openGroup(partition, epoch)
+	return o.openGroup(partition, epoch, state)
 }
 
 // Remove implements Opener.
 func (o *opener) Remove(partition order.PartitionID) { o.router.Remove(partition) }
 
-func (o *opener) openQueue(ctx context.Context, partition order.PartitionID, epoch order.Epoch) (Part, error) {
+func (o *opener) openQueue(ctx context.Context, partition order.PartitionID, epoch order.Epoch, state []byte) (Part, error) {
 	if o.hosts.Age() > digestRetention && len(o.hosts.Workers()) == 0 {
 		return nil, errHostListUnknown
 	}
@@ -104,7 +104,7 @@
 		WithGroups(o.hosts.Groups).
 		WithOwned(o.owned)
 	part := &queuePart{
-		queue:   till.New(partition, epoch, deps, till.WithInbox(o.settings.InboxLength()), till.WithMachine(o.machineOptions()...)),
+		queue:   till.New(partition, epoch, deps, till.WithState(state), till.WithInbox(o.settings.InboxLength()), till.WithMachine(o.machineOptions()...)),
 		divider: tonnage.New(partition, epoch, o.store, division),
 		journal: journal,
 	}
@@ -112,7 +112,7 @@
 	return part, nil
 }
 
-func (o *opener) openGroup(partition order.PartitionID, epoch order.Epoch) (Part, error) {
+func (o *opener) openGroup(partition order.PartitionID, epoch order.Epoch, state []byte) (Part, error) {
 	group, ok := partition.Group()
 	if !ok {
 		return nil, fmt.Errorf("partition %q is neither a queue nor a group", partition)
@@ -127,7 +127,7 @@
 		WithElsewhere(func(team order.TeamName) float64 { return o.digests.Elsewhere(group, team) }).
 		WithPolicy(o.policy()).
 		WithBidLimit(o.settings.BidLength())
-	part := &groupPart{group: berth.New(group, epoch, deps, berth.WithInbox(o.settings.InboxLength()))}
+	part := &groupPart{group: berth.New(group, epoch, deps, berth.WithInbox(o.settings.InboxLength()), berth.WithState(state))}
 	o.router.AddGroup(partition, part.group)
 	return part, nil
 }
@@ -188,6 +188,12 @@
 	p.journal.Close()
 }
 
+// Drain implements Part.
+func (p *queuePart) Drain() []byte { return p.queue.Drain() }
+
+// Drain implements Part.
+func (p *groupPart) Drain() []byte { return p.group.Drain() }
+
 // Run implements Part.
 func (p *groupPart) Run(ctx context.Context) error { return p.group.Run(ctx) }
 
--- a/wharf/placer.go
+++ b/wharf/placer.go
@@ -117,10 +117,10 @@
 	}
 }
 
-// collect stops the part of a partition that moves to another process.
+// collect stops the part of a partition that moves to another process, and
+// returns its state.
 func (p *Placer) collect(partition order.PartitionID) []byte {
-	p.parts.StopCurrent(partition)
-	return nil
+	return p.parts.Drain(partition)
 }
 
 // Run works until the context ends. It then hands all partitions over before
@@ -219,7 +219,7 @@
 	switch event := event.(type) {
 	case harbour.AcquiredEvent:
 		p.log.Info().Str("partition", string(event.Partition())).Uint64("epoch", uint64(event.Epoch())).Msg("wharf: acquired partition")
-		p.parts.Start(event.Partition(), event.Epoch())
+		p.parts.Start(event.Partition(), event.Epoch(), event.State())
 	case harbour.LostEvent:
 		p.log.Info().Str("partition", string(event.Partition())).Uint64("epoch", uint64(event.Epoch())).Msg("wharf: lost partition")
 		go p.parts.Stop(event.Partition(), event.Epoch())
