--- a/scripts/slopes.sh
+++ b/scripts/slopes.sh
@@ -39,11 +39,15 @@
 	wait "$sampler"
 	trap - EXIT
 	stop_cluster
+	if [ -z "$header" ]; then
+		header="workers,hosts,$(head -1 "$out/slopes-phases.csv")"
+		echo "$header"
+	fi
 	tail -n +2 "$out/slopes-phases.csv" | sed -e "s/^/$1,$hosts,/"
 	echo "# load average $(cut -d' ' -f1-3 /proc/loadavg); waited p50..max $(sed -n 2p "$out/slopes-load.csv" | cut -d, -f8-11)"
 }
 
-echo "workers,hosts,$(echo phase,seconds,started_per_s,completed_per_s,slots_mean,dominant_mean,{gate,placer}_{cores,largest_bytes,resident_bytes,bytes_per_s},store_calls_per_s | tr ' ' ',')"
+header=
 for size in "${@:-50:3}"; do
 	measure_size "${size%:*}" "${size#*:}"
 done
