--- a/berth/placement.go
+++ b/berth/placement.go
@@ -122,6 +122,7 @@
 	}
 	m.bidsAt = now.Add(bidPeriod)
 	m.saveWorker(now)
+	m.wantAllotments()
 	for _, b := range m.bids.inOrder() {
 		if code, text := m.refusal(now, b.task); code != order.Done && code != order.QueueFull {
 			m.bids.remove(b.task.ID())
@@ -328,6 +329,7 @@
 
 func (m *machine) enter(e *entry, h *host) {
 	m.entries[e.task.ID()] = e
+	delete(m.settled, e.ref())
 	e.load = e.reserved.dominant(m.capacity)
 	h.add(e)
 	m.count(e, 1)
--- a/till/bench_test.go
+++ b/till/bench_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"runtime"
 	"testing"
 	"time"
 
@@ -15,133 +14,107 @@
 	"chervilhollow/till"
 )
 
-type noRecorder struct{}
+// discard takes all records and never completes them.
+type discard struct{ token logbook.Token }
 
-func (noRecorder) Add(logbook.Record) (logbook.Token, error) { return 0, nil }
-func (noRecorder) Cancel(logbook.Token) bool                 { return true }
+func (d *discard) Add(logbook.Record) (logbook.Token, error) {
+	d.token++
+	return d.token, nil
+}
 
-const benchRack = 8
+func (d *discard) Cancel(logbook.Token) bool { return false }
 
-// benchMachine returns a queue that knows the digests of so many workers in
-// racks of 8, of which one group in four has free room.
-func benchMachine(workers int) (*till.Machine, time.Time) {
-	now := time.Unix(1000, 0)
-	m := till.NewMachine(now, testPartition, 1, noRecorder{}, gauge.New(zerolog.Nop()), nil, till.WithSeed(1), till.WithLimit(1<<30))
-	size := order.Resources{}.WithCores(64000).WithMemory(256 << 30)
-	config := sheet.NewConfig(1).WithTeam(sheet.NewTeam(testTeam, 1, 8*workers))
+// benchMachine returns a machine that sees the groups, with an inventory.
+func benchMachine(b *testing.B, groups int) (*till.Machine, time.Time) {
+	b.Helper()
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	m := till.NewMachine(now, testPartition, 1, &discard{}, gauge.New(zerolog.Nop()), nil, till.WithSeed(1))
 	var (
+		names   []order.GroupID
 		digests []order.GroupDigest
-		ids     []order.GroupID
 	)
-	for i := range max(1, workers/benchRack) {
-		id := order.NewGroupID(order.DomainName(fmt.Sprintf("d%d", i%30)), fmt.Sprintf("r%d", i))
-		free := 0
-		if i%4 == 0 {
-			free = 8
-		}
-		ids = append(ids, id)
-		digests = append(digests, order.GroupDigest{}.WithGroup(id).WithDomain(id.Domain()).WithEpoch(1).
-			WithFree(size).WithLargest(size).WithFreeSlots(free).WithWorkers(benchRack).WithSlots(8*benchRack).
-			WithRunning(map[order.TeamName]int{testTeam: 8*benchRack - free}).
-			WithAllotted(map[order.TeamName]int{testTeam: 8 * benchRack}))
+	for i := range groups {
+		g := &fakeGroup{id: order.NewGroupID(order.DomainName(fmt.Sprintf("d%d", i%30)), fmt.Sprint("r", i)), epoch: 1, slots: 1 << 20}
+		names = append(names, g.id)
+		digests = append(digests, g.digest())
 	}
-	m.Observe(now, till.NewObservation().WithConfig(config).WithGroups(ids).WithDigests(digests).
-		WithOwned(func(order.GroupID) bool { return true }))
-	return m, now
-}
-
-// BenchmarkDecision measures one placement decision of a queue: the choice of
-// groups for a new request, the first offer, and its outcome.
-func BenchmarkDecision(b *testing.B) {
-	for _, workers := range []int{50, 1000, 12000} {
-		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
-			m, now := benchMachine(workers)
-			b.ReportAllocs()
-			n := 0
-			for b.Loop() {
-				n++
-				decide(b, m, now, n)
-			}
-		})
+	m.Observe(now, till.NewObservation().
+		WithConfig(sheet.NewConfig(1).WithTeam(sheet.NewTeam(testTeam, 1, 1<<20))).
+		WithGroups(names).
+		WithDigests(digests).
+		WithPlacers([]order.MemberID{placerID}))
+	m.Handle(now, placerID, order.InventoryReplyMsg{}.WithPartition(testPartition).WithEpoch(1).WithGroups(names))
+	if !m.Recovered() {
+		b.Fatal("the inventory is not complete")
 	}
+	return m, now
 }
 
-// decide runs one request through the queue.
-func decide(b *testing.B, m *till.Machine, now time.Time, n int) {
-	request := order.Request{}.WithID(order.RequestID(fmt.Sprintf("r%d", n))).WithTeam(testTeam).WithKind(order.Preview).
-		WithIdempotent(true).WithFresh(true).WithTasks(1).WithSize(order.Resources{}.WithCores(1000).WithMemory(1 << 29)).
-		WithDeadline(now.Add(time.Minute))
+// through takes one request from its submission to its answer.
+func through(b *testing.B, m *till.Machine, now time.Time, r order.Request) {
 	var bid order.BidMsg
-	for _, c := range m.Handle(now, "gate", order.SubmitMsg{}.WithPartition(testPartition).WithRequest(request).WithSequence(uint64(n))) {
-		if post, ok := c.(till.PostCmd); ok {
-			bid, _ = post.Msg().(order.BidMsg)
+	var group order.GroupID
+	for _, c := range m.Handle(now, "gate0", order.SubmitMsg{}.WithPartition(testPartition).WithRequest(r)) {
+		post, ok := c.(till.PostCmd)
+		if !ok {
+			continue
+		}
+		if msg, ok := post.Msg().(order.BidMsg); ok {
+			bid, group = msg, post.Group()
 		}
 	}
-	group, ok := bid.Partition().Group()
-	if !ok {
-		b.Fatal("no bid was sent")
+	id, attempt := bid.Task().ID(), bid.Attempt()
+	m.Handle(now, placerID, order.OfferMsg{}.WithTask(id).WithAttempt(attempt).WithGroup(group).WithEpoch(1))
+	m.Handle(now, placerID, order.StartedMsg{}.WithTask(id).WithAttempt(attempt).WithGroup(group))
+	answered := false
+	outcome := order.Outcome{}.WithTask(id).WithAttempt(attempt).WithCode(order.Done)
+	for _, c := range m.Handle(now, placerID, order.EndedMsg{}.WithGroup(group).WithOutcome(outcome).WithEpoch(1)) {
+		if send, ok := c.(till.SendCmd); ok {
+			a, ok := send.Msg().(order.AnswerMsg)
+			answered = ok && a.Code() == order.Done
+		}
 	}
-	m.Handle(now, placerID, order.OfferMsg{}.WithPartition(testPartition).WithTask(bid.Task().ID()).WithAttempt(bid.Attempt()).
-		WithGroup(group).WithEpoch(1).WithHold(fakeHold))
-	outcome := order.Outcome{}.WithTask(bid.Task().ID()).WithAttempt(bid.Attempt()).WithCode(order.Done).WithStarted(now).WithEnded(now)
-	m.Handle(now, placerID, order.EndedMsg{}.WithPartition(testPartition).WithGroup(group).WithOutcome(outcome).WithEpoch(1))
-	if m.Open() > 0 {
-		b.Fatal("the request did not end")
+	if !answered {
+		b.Fatalf("%s has no answer", r.ID())
 	}
 }
 
-// BenchmarkObserve measures the digests of all groups that a queue takes over
-// twice a second.
-func BenchmarkObserve(b *testing.B) {
-	for _, workers := range []int{50, 1000, 12000} {
-		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
-			m, now := benchMachine(workers)
-			o := observationOf(workers)
+// BenchmarkThrough measures submit, bid, offer, confirm, start, end and answer
+// of attached idempotent requests in one partition.
+func BenchmarkThrough(b *testing.B) {
+	for _, groups := range []int{7, 1500} {
+		b.Run(fmt.Sprintf("groups=%d", groups), func(b *testing.B) {
+			m, now := benchMachine(b, groups)
 			b.ReportAllocs()
-			for b.Loop() {
-				m.Observe(now, o)
+			for i := 0; b.Loop(); i++ {
+				now = now.Add(10 * time.Millisecond)
+				through(b, m, now, request(fmt.Sprint("r", i), order.Preview))
+				m.Tick(now)
 			}
 		})
 	}
 }
 
-func observationOf(workers int) till.Observation {
-	var (
-		digests []order.GroupDigest
-		ids     []order.GroupID
-	)
-	for i := range max(1, workers/benchRack) {
-		id := order.NewGroupID(order.DomainName(fmt.Sprintf("d%d", i%30)), fmt.Sprintf("r%d", i))
-		ids = append(ids, id)
-		digests = append(digests, order.GroupDigest{}.WithGroup(id).WithDomain(id.Domain()).WithEpoch(1).WithWorkers(benchRack))
+// BenchmarkObserve measures the digests of 1,500 groups while 1,000 requests
+// wait.
+func BenchmarkObserve(b *testing.B) {
+	m, now := benchMachine(b, 1500)
+	for i := range 1000 {
+		m.Handle(now, "gate0", order.SubmitMsg{}.WithPartition(testPartition).WithRequest(request(fmt.Sprint("r", i), order.Batch)))
 	}
-	return till.NewObservation().WithGroups(ids).WithDigests(digests).WithOwned(func(order.GroupID) bool { return true })
-}
-
-// BenchmarkWaitingMemory measures the memory of a waiting request with a
-// payload of 200 bytes.
-func BenchmarkWaitingMemory(b *testing.B) {
-	for _, requests := range []int{1000, 10000, 50000} {
-		b.Run(fmt.Sprintf("requests=%d", requests), func(b *testing.B) {
-			for b.Loop() {
-				before := heapBytes()
-				m, now := benchMachine(50)
-				for n := range requests {
-					request := order.Request{}.WithID(order.RequestID(fmt.Sprintf("r%d", n))).WithTeam(testTeam).WithKind(order.Batch).
-						WithIdempotent(true).WithFresh(true).WithTasks(1).WithSize(order.Resources{}.WithCores(1000)).
-						WithDeadline(now.Add(time.Minute)).WithPayload(make([]byte, 200))
-					m.Handle(now, "gate", order.SubmitMsg{}.WithPartition(testPartition).WithRequest(request).WithSequence(uint64(n)))
-				}
-				b.ReportMetric(float64(heapBytes()-before)/float64(m.Open()), "bytes/request")
-			}
-		})
+	var digests []order.GroupDigest
+	var names []order.GroupID
+	for i := range 1500 {
+		g := &fakeGroup{id: order.NewGroupID(order.DomainName(fmt.Sprintf("d%d", i%30)), fmt.Sprint("r", i)), epoch: 1, slots: 8}
+		names = append(names, g.id)
+		digests = append(digests, g.digest())
+	}
+	o := till.NewObservation().
+		WithConfig(sheet.NewConfig(1).WithTeam(sheet.NewTeam(testTeam, 1, 1<<20))).
+		WithGroups(names).
+		WithDigests(digests)
+	b.ReportAllocs()
+	for b.Loop() {
+		m.Observe(now, o)
 	}
-}
-
-func heapBytes() uint64 {
-	runtime.GC()
-	runtime.GC()
-	var stats runtime.MemStats
-	runtime.ReadMemStats(&stats)
-	return stats.HeapAlloc
 }
--- a/till/conclude.go
+++ b/till/conclude.go
@@ -29,6 +29,10 @@
 		m.concludeGang(t, notStarted, a)
 		return
 	}
+	if t.outcome.Checkpointed() && !notStarted && !j.cancelled && !j.expired {
+		m.resume(t, a)
+		return
+	}
 	if m.retryable(t, notStarted) {
 		if wait, ok := m.retryWait(t, notStarted); ok {
 			m.sendAck(a)
@@ -42,6 +46,16 @@
 	m.concludeJob(j)
 }
 
+// resume places a task again that was checkpointed. Its next attempt goes on
+// where this one ended, so it is no second run.
+func (m *Machine) resume(t *task, a ack) {
+	m.registry.Count("till.resumed")
+	m.sendAck(a)
+	t.job.resumed++
+	t.state = taskWaiting
+	t.retryAt = m.now.Add(m.jitter(retryBase))
+}
+
 // codeOf returns the code of an ended task, which takes a cancellation or a
 // deadline into account.
 func (j *job) codeOf(t *task, notStarted bool) order.Code {
@@ -77,15 +91,23 @@
 	}
 	o := decisive.outcome
 	if o.Code().Run() == order.RunNo && j.mayHaveRun() {
-		code := order.TaskFailed
-		if j.cancelled {
-			code = order.CancelledRunning
-		}
-		o = o.WithCode(code).WithText("")
+		o = o.WithCode(j.codeOfEarlier()).WithText("")
 	}
 	m.finish(j, o)
 }
 
+// codeOfEarlier returns the code of a job whose last attempt did not start, but
+// an earlier one may have.
+func (j *job) codeOfEarlier() order.Code {
+	switch {
+	case !j.ran:
+		return order.OutcomeUnknown
+	case j.cancelled:
+		return order.CancelledRunning
+	}
+	return order.TaskFailed
+}
+
 // weight orders the outcomes of the tasks of one request.
 func (t *task) weight() int {
 	switch code := t.outcome.Code(); {
@@ -103,6 +125,7 @@
 // "not run" of a request that a successor would find in the journal and run.
 func (m *Machine) finish(j *job, o order.Outcome) {
 	code := o.Code()
+	held := j.accepted != writeNone && code.Run() == order.RunNo && code != order.DeadlineBeforeRun
 	if j.doubtful && code >= order.QueueFull && code.Run() == order.RunNo {
 		code = order.OutcomeUnknown
 		o = o.WithCode(code).WithText("")
@@ -117,7 +140,6 @@
 	m.registry.Count("till.ended." + code.String())
 	j.outcome = m.complete(j, o)
 	j.finished = m.now
-	held := j.accepted != writeNone && code.Run() == order.RunNo && code != order.DeadlineBeforeRun
 	j.phase = phaseDone
 	if j.journaled() {
 		m.recordEnd(j)
@@ -216,7 +238,7 @@
 		WithRequest(j.key.Request).
 		WithSequence(w.sequence)
 	if j.phase != phaseDone {
-		return a
+		return a.WithCode(order.Pending).WithText(order.Pending.Text())
 	}
 	o := j.outcome
 	return a.WithCode(o.Code()).
