Repeat a refusal that an earlier copy may contradict

A refusal now counts only if its copy was sent 2 s after the last unanswered copy to another process.

--- a/counter/copies.go
+++ b/counter/copies.go
@@ -16,8 +16,11 @@
 		to     order.MemberID
 		number int
 
-		// at is when the copy was sent or, later, when it was accepted.
-		at      time.Time
+		// sent and accepted are the times of the hand-over and of the first
+		// acknowledgement.
+		sent     time.Time
+		accepted time.Time
+
 		state   copyState
 		refusal reply
 	}
@@ -51,7 +54,7 @@
 		}
 	}
 	sequence := x.counter.table.expect(x)
-	sent := &sentCopy{to: to, number: len(x.copies), at: now}
+	sent := &sentCopy{to: to, number: len(x.copies), sent: now}
 	x.copies[sequence] = sent
 	return sequence, sent
 }
@@ -70,7 +73,7 @@
 	}
 	if sent, ok := x.copies[in.sequence]; ok {
 		sent.to, sent.state = in.from, copyAccepted
-		sent.at = x.counter.deps.clock.Now()
+		sent.accepted = x.counter.deps.clock.Now()
 	}
 	return contested
 }
@@ -87,7 +90,7 @@
 	refused.to, refused.state, refused.refusal = in.from, copyRefused, r
 	now := x.counter.deps.clock.Now()
 	for _, sent := range x.copies {
-		if sent.to != in.from && sent.state == copyAccepted && now.Sub(sent.at) < copyLife {
+		if sent.to != in.from && sent.state == copyAccepted && now.Sub(sent.accepted) < copyLife {
 			x.void(refused)
 			x.askAgain()
 			return
@@ -130,7 +133,12 @@
 	}
 	waits := false
 	for _, sent := range x.copies {
-		switch sent.doubt(newest, now) {
+		switch sent.doubt(newest) {
+		case doubtEarly:
+			x.void(newest)
+			x.askAgain()
+			x.refusedAt = time.Time{}
+			return reply{}, false
 		case doubtOverruled:
 			x.refusedAt = time.Time{}
 			return reply{}, false
@@ -167,12 +175,16 @@
 	// doubtOpen: the copy may still start the request.
 	doubtOpen
 
+	// doubtEarly: the copy may still reach a process that wins the partition
+	// back, so the refusal counts only if it is repeated for a later copy.
+	doubtEarly
+
 	// doubtOverruled: a later owner has the request, so the refusal of an
 	// earlier one says nothing.
 	doubtOverruled
 )
 
-func (c *sentCopy) doubt(refused *sentCopy, now time.Time) doubt {
+func (c *sentCopy) doubt(refused *sentCopy) doubt {
 	switch {
 	case c.state != copyWaiting && c.state != copyAccepted:
 		return doubtNone
@@ -183,8 +195,8 @@
 		return doubtNone
 	case c.number > refused.number:
 		return doubtOverruled
-	case c.state == copyWaiting && now.Sub(c.at) < copyLife:
-		return doubtOpen
+	case c.state == copyWaiting && refused.sent.Sub(c.sent) < copyLife:
+		return doubtEarly
 	}
 	return doubtNone
 }
