Name a standby sooner after another placer joins

Standbys that still refuse promises after their start come last.

TestKeeperHandsOver now starts past that time (V after the start): before it, no standby promises, so no handover can be confirmed within its second.

--- a/harbour/keeper_test.go
+++ b/harbour/keeper_test.go
@@ -276,6 +276,9 @@
 		}
 		return true
 	})
+	// A process gives no promise for V after its start, so no handover in a
+	// cell that has just started can be confirmed in time.
+	time.Sleep(harbour.Validity + 200*time.Millisecond)
 	return nodes
 }
 
--- a/harbour/prefer.go
+++ b/harbour/prefer.go
@@ -19,9 +19,12 @@
 	// process that restarts again and again attracts no partitions.
 	settled = 5 * time.Second
 
-	// A process gives no promise in the first time after its start, so it
-	// serves as a standby only after that.
-	standbySettled = 2 * time.Second
+	// A process gives no promise for V after its start, so it serves as a
+	// standby only some time after its record was seen. Until then the owner
+	// may have no standby at all and would stop in a store outage, so the time
+	// is short: the deadline that the owner keeps while it names a standby,
+	// V after the write, covers the rest.
+	standbySettled = 500 * time.Millisecond
 )
 
 // preferred returns the process that should own the partition.
@@ -113,6 +116,9 @@
 		if (inUse[a.id] > 0) != (inUse[b.id] > 0) {
 			return inUse[a.id] > 0
 		}
+		if c.promises(a) != c.promises(b) {
+			return c.promises(a)
+		}
 		return better(false, false, affinity(owner.Address(), a.id), affinity(owner.Address(), b.id), a.id, b.id)
 	})
 	ids := make([]order.MemberID, 0, MaxStandbys)
@@ -122,6 +128,12 @@
 	return ids
 }
 
+// promises reports whether the process is past the time after its start in
+// which it gives no promise.
+func (c *protocol) promises(m member) bool {
+	return m.id == c.self || c.followed.Sub(m.since) >= standbyValidity
+}
+
 // pick spreads the partitions over the standbys.
 func (c *protocol) pick(id order.PartitionID, standbys []order.MemberID) order.MemberID {
 	var top order.MemberID
