--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 CHECKS ?= 2000
 SOAK ?= 10m
 
-.PHONY: build generate test check try soak measure ci
+.PHONY: build generate test check try soak measure bench ci
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -28,3 +28,6 @@
 measure: build
 	scripts/measure.sh tagline
 	scripts/measure.sh sandfjord
+
+bench:
+	$(GO) test -run xxx -bench . -cpu 1 ./...
