--- a/wharf/placer.go
+++ b/wharf/placer.go
@@ -209,7 +209,10 @@
 		select {
 		case <-ctx.Done():
 			return nil
-		case event := <-p.keeper.Events():
+		case event, ok := <-p.keeper.Events():
+			if !ok {
+				return nil
+			}
 			p.follow(event)
 		}
 	}
