--- a/wharf/parts.go
+++ b/wharf/parts.go
@@ -102,6 +102,9 @@
 	if r == nil {
 		return nil
 	}
+	// Senders learn at once that the partition moves, instead of waiting for
+	// an answer of a part that works no more.
+	p.opener.Remove(partition)
 	state := r.drain()
 	p.StopCurrent(partition)
 	return state
