Keep payload and confirmations of a planned move

(2) A queue and a group of one placer moved at the same time and a confirmation between them was lost, which gave code 401; queues now move before groups. (3) A late acceptance of a former owner delayed the message to the present one; it no longer does.

--- a/counter/exchange.go
+++ b/counter/exchange.go
@@ -231,9 +231,12 @@
 	if !x.accepted {
 		x.state = order.RequestQueued
 	}
-	if contested {
+	switch {
+	case contested:
 		x.askAgain()
-	} else {
+	case in.from == x.target:
+		// An acceptance of a former owner must not delay the message to the
+		// present one.
 		x.waitAccepted()
 	}
 	return reply{}, false
--- a/harbour/keeper.go
+++ b/harbour/keeper.go
@@ -238,6 +238,25 @@
 	if err != nil {
 		return err
 	}
+	// Queues move before groups, so that the confirmations of a queue still
+	// reach the groups of this process.
+	queues, groups := splitRoles(ids)
+	return errors.Join(k.releaseAll(ctx, queues), k.releaseAll(ctx, groups))
+}
+
+func splitRoles(ids []order.PartitionID) (queues, groups []order.PartitionID) {
+	for _, id := range ids {
+		if id.IsRequest() {
+			queues = append(queues, id)
+		} else {
+			groups = append(groups, id)
+		}
+	}
+	return queues, groups
+}
+
+// releaseAll hands partitions over, several at a time.
+func (k *Keeper) releaseAll(ctx context.Context, ids []order.PartitionID) error {
 	var (
 		group sync.WaitGroup
 		errs  = make([]error, len(ids))
--- a/till/drain.go
+++ b/till/drain.go
@@ -18,14 +18,24 @@
 		Unconfirmed []handoverKey `json:"unconfirmed"`
 	}
 
+	// handoverKey names a request and carries its payload, which the journal
+	// keeps for detached requests only.
 	handoverKey struct {
 		Team    order.TeamName  `json:"team"`
 		Request order.RequestID `json:"request"`
+		Payload []byte          `json:"payload,omitempty"`
 	}
 )
 
-// drainTimeout bounds the wait for records that are on their way to the store.
-const drainTimeout = time.Second
+const (
+	// drainTimeout bounds the wait for records that are on their way to the
+	// store.
+	drainTimeout = time.Second
+
+	// maxHandoverBytes bounds the payloads in a state, which has to fit into
+	// one frame. Requests beyond it end with an unknown outcome.
+	maxHandoverBytes = 256 << 10
+)
 
 // WithState takes over the state of a planned move, as Drain returned it.
 func WithState(state []byte) Option {
@@ -73,10 +83,14 @@
 
 func (m *Machine) export() []byte {
 	var state handoverState
+	bytes := 0
 	for _, j := range m.sortedJobs() {
-		if j.unconfirmed() {
-			state.Unconfirmed = append(state.Unconfirmed, handoverKey{Team: j.key.Team, Request: j.key.Request})
+		payload := j.request.Payload()
+		if !j.unconfirmed() || bytes+len(payload) > maxHandoverBytes {
+			continue
 		}
+		bytes += len(payload)
+		state.Unconfirmed = append(state.Unconfirmed, handoverKey{Team: j.key.Team, Request: j.key.Request, Payload: payload})
 	}
 	data, err := json.Marshal(state)
 	m.registry.Invariant(err == nil, "till.handover_state", "state not encoded: %v", err)
@@ -103,6 +117,7 @@
 	for _, key := range state.Unconfirmed {
 		if j := m.jobs[logbook.Key{Team: key.Team, Request: key.Request}]; j != nil {
 			j.handedOver = true
+			j.request = j.request.WithPayload(key.Payload)
 		}
 	}
 	return nil
--- a/till/drain_test.go
+++ b/till/drain_test.go
@@ -58,7 +58,7 @@
 	recoverMachine(m, now, 1)
 	request := order.Request{}.WithID("r1").WithTeam("toys").WithKind(order.Batch).WithTasks(1).
 		WithSize(order.Resources{}.WithCores(1000).WithMemory(1 << 20)).
-		WithDeadline(now.Add(time.Minute)).WithReceived(now)
+		WithDeadline(now.Add(time.Minute)).WithReceived(now).WithPayload([]byte("tags"))
 	var bid order.BidMsg
 	for _, c := range m.Handle(now, "gate", order.SubmitMsg{}.WithPartition(drainPartition).WithRequest(request)) {
 		if post, ok := c.(PostCmd); ok {
@@ -91,8 +91,16 @@
 	state := m.export()
 	successor := drainMachine(now, 2, &memoryRecorder{}, recorder.records)
 	is.NoErr(successor.importState(state))
-	recoverMachine(successor, now, 2)
+	var payload string
+	for _, c := range recoverMachine(successor, now, 2) {
+		if post, ok := c.(PostCmd); ok {
+			if bid, ok := post.Msg().(order.BidMsg); ok {
+				payload = string(bid.Task().Payload())
+			}
+		}
+	}
 	is.Equal(successor.jobs[logbook.Key{Team: "toys", Request: "r1"}].phase, phaseOpen)
+	is.Equal(payload, "tags") // the journal has no payload of an attached request
 }
 
 // Guards against a start that may have happened and is taken as not confirmed:
