Use a failure domain again when it is back

Cause: queues ranked a group without allotment behind any two busy groups, so no bid reached the groups of a returned domain, and the divider took bids that wait at full groups for need, so no allotment was left to move there. The tonnage tests now state the free slots of their groups, which the digests always carry.

--- a/till/bid.go
+++ b/till/bid.go
@@ -21,6 +21,9 @@
 const (
 	// rankRoom has free room and allotment left.
 	rankRoom rank = iota
+	// rankIdle has free room, but no allotment left. A bid there shows the
+	// divider of limits that the team could use one.
+	rankIdle
 	// rankBusy has an allotment but no free room.
 	rankBusy
 	// rankNoAllotment has none for the team. A bid there shows the divider of
@@ -227,7 +230,8 @@
 	t.bids = t.bids[:0]
 }
 
-// choose returns up to n groups for the task, those with room first. It looks
+// choose returns up to n groups for the task: those with room and allotment,
+// then by turns idle and busy ones. It looks
 // at the groups in a random order, so that the bids of many tasks spread.
 func (m *Machine) choose(t *task, n int) []*groupView {
 	list := m.view.list
@@ -286,13 +290,16 @@
 		return 0, false
 	}
 	allotted := d.Allotted()[team.Name()]
+	room := d.FreeSlots() > g.bids && fitsIn(t.job.request.Size(), d.Free())
 	switch {
-	case allotted == 0:
-		return rankNoAllotment, true
-	case allotted > d.Running()[team.Name()] && d.FreeSlots() > g.bids && fitsIn(t.job.request.Size(), d.Free()):
+	case room && allotted > d.Running()[team.Name()]:
 		return rankRoom, true
+	case room:
+		return rankIdle, true
+	case allotted > 0:
+		return rankBusy, true
 	}
-	return rankBusy, true
+	return rankNoAllotment, true
 }
 
 func (p *pick) add(r rank, g *groupView) {
@@ -311,12 +318,22 @@
 
 func (p *pick) best() []*groupView {
 	best := p.groups[rankRoom]
-	for _, more := range p.groups[rankBusy:] {
-		for _, g := range more {
-			if len(best) < p.want {
-				best = append(best, g)
-			}
-		}
+	idle, busy := p.groups[rankIdle], p.groups[rankBusy]
+	for i := range max(len(idle), len(busy)) {
+		best = p.fill(best, at(idle, i))
+		best = p.fill(best, at(busy, i))
+	}
+	return p.fill(best, p.groups[rankNoAllotment])
+}
+
+func (p *pick) fill(best, more []*groupView) []*groupView {
+	return append(best, more[:min(len(more), p.want-len(best))]...)
+}
+
+// at returns the element as a slice, which is empty past the end.
+func at(groups []*groupView, i int) []*groupView {
+	if i >= len(groups) {
+		return nil
 	}
-	return best
+	return groups[i : i+1]
 }
--- a/tonnage/divide.go
+++ b/tonnage/divide.go
@@ -13,8 +13,12 @@
 		group    order.GroupID
 		recorded int
 		running  int
-		waiting  int
-		slots    int
+		// waiting counts the bids that a free slot could serve. Bids at full
+		// groups show no need: the same tasks bid elsewhere.
+		waiting int
+		// queued tells that bids wait, even if no slot is free for them.
+		queued bool
+		slots  int
 		// eligible tells that the team may start work in the group.
 		eligible bool
 	}
@@ -85,6 +89,10 @@
 		if d.eligible {
 			needed += d.waiting
 		}
+		if d.eligible && d.queued && d.waiting == 0 {
+			// The next task that ends leaves its place to one that waits.
+			needed++
+		}
 		if surplus[i] = counts[i] - needed; surplus[i] > 0 {
 			order = append(order, i)
 		}
--- a/tonnage/observe.go
+++ b/tonnage/observe.go
@@ -129,6 +129,10 @@
 		if told, ok := t.acked[id]; ok && g.fresh {
 			d.running, d.waiting = told.running, told.waiting
 		}
+		d.queued = d.waiting > 0
+		if g.fresh {
+			d.waiting = min(d.waiting, g.digest.FreeSlots())
+		}
 		demands = append(demands, d)
 	}
 	return demands
--- a/tonnage/tonnage_test.go
+++ b/tonnage/tonnage_test.go
@@ -256,6 +256,7 @@
 			WithDomain(id.Domain()).
 			WithEpoch(g.epoch).
 			WithSlots(64).
+			WithFreeSlots(max(0, 64-g.running)).
 			WithWorkers(8).
 			WithRunning(map[order.TeamName]int{team: g.running}).
 			WithWaiting(map[order.TeamName]int{team: g.waiting}).
