Keep answers for the moments in which an owner may not act

Cause: while the standby of a partition changes, its owner holds no promise for some milliseconds; an answer made then was dropped, and the gate asked again only 5 s after its request had been accepted.

--- a/till/queue.go
+++ b/till/queue.go
@@ -27,6 +27,7 @@
 		kick      chan struct{}
 		state     []byte
 		drain     chan chan []byte
+		held      []SendCmd
 
 		closing   chan struct{}
 		closeOnce sync.Once
@@ -56,6 +57,9 @@
 	// confirmThreshold is the least time that must be left to the owner when
 	// it confirms an offer.
 	confirmThreshold = 20 * time.Millisecond
+
+	// maxHeld bounds the messages kept while the owner may not act.
+	maxHeld = 4096
 )
 
 // WithInbox sets how many messages may wait.
@@ -212,6 +216,7 @@
 }
 
 func (q *Queue) tick() {
+	q.sendHeld()
 	now := q.deps.clock.Now()
 	if next := q.machine.Next(); next.IsZero() || next.After(now) {
 		return
@@ -235,17 +240,38 @@
 	for _, c := range commands {
 		switch c := c.(type) {
 		case SendCmd:
-			if q.deps.guard.Remaining() > 0 {
-				q.send(c.to, c.msg)
-				continue
-			}
-			q.deps.registry.Count("till.dropped.guard")
+			q.sendOrHold(c)
 		case PostCmd:
 			q.post(c)
 		}
 	}
 }
 
+// sendOrHold keeps messages for the moments in which the owner may not act, as
+// while its standby changes. Gates do not ask again for seconds after their
+// request was accepted, so a dropped answer would delay the caller.
+func (q *Queue) sendOrHold(c SendCmd) {
+	switch {
+	case q.deps.guard.Remaining() > 0 && len(q.held) == 0:
+		q.send(c.to, c.msg)
+	case len(q.held) < maxHeld:
+		q.held = append(q.held, c)
+		q.deps.registry.Count("till.held")
+	default:
+		q.deps.registry.Count("till.dropped.guard")
+	}
+}
+
+func (q *Queue) sendHeld() {
+	if len(q.held) == 0 || q.deps.guard.Remaining() <= 0 {
+		return
+	}
+	for _, c := range q.held {
+		q.send(c.to, c.msg)
+	}
+	q.held = nil
+}
+
 func (q *Queue) send(to order.MemberID, m order.Msg) {
 	if err := q.deps.sender.Send(to, m); err != nil {
 		q.deps.registry.Count("till.dropped.send")
