--- a/logbook/log_test.go
+++ b/logbook/log_test.go
@@ -180,16 +180,16 @@
 
 // owners runs the owners of one journal one after the other.
 type owners struct {
-	clock     *tide.Manual
-	store     *depot.Memory
-	epoch     order.Epoch
-	log       *logbook.Log
-	op        *logbook.Op
-	zombies   []logbook.Op
-	added     int
-	pending   map[logbook.Token]string
-	written   map[string]bool
-	cancelled map[string]bool
+	clock      *tide.Manual
+	store      *depot.Memory
+	epoch      order.Epoch
+	log        *logbook.Log
+	op         *logbook.Op
+	lateWrites []logbook.Op
+	added      int
+	pending    map[logbook.Token]string
+	written    map[string]bool
+	cancelled  map[string]bool
 }
 
 func (o *owners) step(t *rapid.T) {
@@ -231,7 +231,7 @@
 
 func (o *owners) change(t *rapid.T) {
 	if o.op != nil {
-		o.zombies = append(o.zombies, *o.op)
+		o.lateWrites = append(o.lateWrites, *o.op)
 		o.op = nil
 	}
 	o.epoch++
@@ -239,11 +239,11 @@
 	o.pending = make(map[logbook.Token]string)
 }
 
-func (o *owners) runZombies(*rapid.T) {
-	for _, z := range o.zombies {
+func (o *owners) runLateWrites(*rapid.T) {
+	for _, z := range o.lateWrites {
 		logbook.Execute(context.Background(), o.store, z)
 	}
-	o.zombies = nil
+	o.lateWrites = nil
 }
 
 func (o *owners) check(t *rapid.T) {
@@ -283,7 +283,7 @@
 			"cancel":     o.cancel,
 			"step":       o.step,
 			"owner":      o.change,
-			"late write": o.runZombies,
+			"late write": o.runLateWrites,
 			"wait": func(t *rapid.T) {
 				o.clock.Advance(50 * time.Millisecond)
 				o.step(t)
--- a/till/random_test.go
+++ b/till/random_test.go
@@ -97,7 +97,7 @@
 		},
 		"owner": func(*rapid.T) { w.takeOver() },
 		"late write": func(*rapid.T) {
-			w.runZombies()
+			w.runLateWrites()
 		},
 		"group": func(t *rapid.T) { a.disturb(t) },
 	}
@@ -126,7 +126,7 @@
 	w := a.w
 	w.loss, w.twice, w.delay = 0, 0, 2*time.Millisecond
 	w.store.SetFaults(nil)
-	w.runZombies()
+	w.runLateWrites()
 	for _, id := range w.names {
 		g := w.groups[id]
 		g.refuse = false
--- a/till/world_test.go
+++ b/till/world_test.go
@@ -42,13 +42,13 @@
 		registry *gauge.Registry
 		config   *sheet.Config
 
-		epoch    order.Epoch
-		machine  *till.Machine
-		log      *logbook.Log
-		recorder func(*logbook.Log) till.Recorder
-		op       *logbook.Op
-		zombies  []logbook.Op
-		observe  time.Time
+		epoch      order.Epoch
+		machine    *till.Machine
+		log        *logbook.Log
+		recorder   func(*logbook.Log) till.Recorder
+		op         *logbook.Op
+		lateWrites []logbook.Op
+		observe    time.Time
 
 		network []packet
 		delay   time.Duration
@@ -195,7 +195,7 @@
 // journal. A write of the former owner may still be on its way.
 func (w *world) takeOver() {
 	if w.op != nil {
-		w.zombies = append(w.zombies, *w.op)
+		w.lateWrites = append(w.lateWrites, *w.op)
 		w.op = nil
 	}
 	w.epoch++
@@ -285,12 +285,12 @@
 	}
 }
 
-// runZombies executes writes that a dead owner had sent.
-func (w *world) runZombies() {
-	for _, op := range w.zombies {
+// runLateWrites executes writes that a dead owner had sent.
+func (w *world) runLateWrites() {
+	for _, op := range w.lateWrites {
 		logbook.Execute(context.Background(), w.store, op)
 	}
-	w.zombies = nil
+	w.lateWrites = nil
 }
 
 func (w *world) transmit(p packet) {
--- a/tonnage/tonnage_test.go
+++ b/tonnage/tonnage_test.go
@@ -40,10 +40,10 @@
 		observe time.Time
 		largest int
 		late    []tonnage.Command
-		// deaf is a group that gets no messages.
-		deaf   order.GroupID
-		outage bool
-		sorted []order.GroupID
+		// unreachable is a group that gets no messages.
+		unreachable order.GroupID
+		outage      bool
+		sorted      []order.GroupID
 	}
 
 	fakeGroup struct {
@@ -183,7 +183,7 @@
 		return
 	}
 	g, ok := c.groups[p.group]
-	if !ok || !g.owned || g.epoch != p.epoch || g.id == c.deaf {
+	if !ok || !g.owned || g.epoch != p.epoch || g.id == c.unreachable {
 		return
 	}
 	if p.allot.Version() >= g.version {
@@ -470,12 +470,12 @@
 	}
 	from.epoch++ // a new owner that read the record before the decrease
 	from.count, from.version = 10, from.version-1
-	c.deaf = from.id
+	c.unreachable = from.id
 	c.run(3 * time.Second)
 	from.waiting = 20
 	c.run(3 * time.Second)
 	is.True(c.running() <= 20)
-	c.deaf = ""
+	c.unreachable = ""
 	c.run(5 * time.Second)
 	is.Equal(c.running(), 20)
 }
