Read the failure domains of a deployment once in cluster.sh

The list was parsed twice, once to be discarded and once by way of a file. make try serves all sample orders as before, with one failure domain for each of the three entry hosts.

--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -27,9 +27,9 @@
 	sed -e "s/127\.0\.0\.1:7\([0-9][0-9][0-9]\)/127.0.0.1:$ports\1/"
 }
 
+# domains_of DEPLOYMENT: its failure domains, one a line.
 domains_of() {
-	sed -n 's/.*"domains": \[\(.*\)\],.*/\1/p' "examples/$1/hosts.json" | tr -d '", ' | tr '\n' ' '
-	sed -n 's/.*"domains": \[\(.*\)\],.*/\1/p' "examples/$1/hosts.json" | tr ',' '\n' | tr -d '" ' >"$out/domains"
+	sed -n 's/.*"domains": \[\(.*\)\],.*/\1/p' "examples/$1/hosts.json" | tr ',' '\n' | tr -d '" '
 }
 
 # host_settings FILE NUMBER DOMAIN: settings of one entry host; host 1 uses the
@@ -77,8 +77,7 @@
 	out=out/$deployment
 	rm -rf "$out"
 	mkdir -p "$out"
-	domains_of "$deployment" >/dev/null
-	mapfile -t domains <"$out/domains"
+	mapfile -t domains < <(domains_of "$deployment")
 	start_standins "$deployment"
 	for i in $(seq "$hosts"); do
 		local domain=${domains[$(((i - 1) % ${#domains[@]}))]}
