--- a/harbour/keeper_test.go
+++ b/harbour/keeper_test.go
@@ -335,6 +335,39 @@
 	is.True(allServed(rest, ids(16))())
 }
 
+// Guards against a new owner that is behind with its work, takes the record of
+// a handover before the message with the state, and starts without the state.
+func TestKeeperHandsOverToBusyProcess(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	store := depot.NewMemory(tide.New())
+	nodes := startAll(t, store, 3, ids(16))
+	leaver, rest := nodes[0], nodes[1:]
+	var owned []order.PartitionID
+	for _, id := range ids(16) {
+		if leaver.acts(id) {
+			owned = append(owned, id)
+		}
+	}
+	is.True(len(owned) > 0)
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	// The event loop of a keeper asks for the revision before each message.
+	for _, v := range rest {
+		v.mu.Lock()
+	}
+	time.AfterFunc(120*time.Millisecond, func() {
+		for _, v := range rest {
+			v.mu.Unlock()
+		}
+	})
+	is.NoErr(leaver.keeper.Handover(ctx, func(id order.PartitionID) []byte { return []byte("state of " + id) }))
+	is.True(allServed(rest, ids(16))())
+	for _, id := range owned {
+		is.Equal(string(actors(rest, id)[0].event(id).State()), "state of "+string(id))
+	}
+}
+
 // Guards against a single placer that cannot be stopped because there is no
 // process to hand over to.
 func TestKeeperHandsOverAlone(t *testing.T) {
