--- a/harbour/owner.go
+++ b/harbour/owner.go
@@ -52,7 +52,8 @@
 	state := c.inherit(p)
 	c.registry.Count("harbour.acquired")
 	c.log.Info().Str("partition", string(p.id)).Uint64("epoch", uint64(p.record.epoch)).
-		Str("standby", string(p.record.standby)).Msg("harbour: acquired partition")
+		Str("standby", string(p.record.standby)).Bool("handed_over", p.record.handover != "").
+		Int("state_bytes", len(state)).Msg("harbour: acquired partition")
 	c.emit(eventCommand{AcquiredEvent{partition: p.id, epoch: p.record.epoch, state: state}})
 }
 
