Wait for the state of a partition that is handed over

Cause: the record of a handover and the message with the state take different ways. Under load the new owner of a group saw the record first and began without the state, so it did not know the former owner's offers; a queue that confirmed one was told that its outcome is unknown (code 401, 'the offer was not made by this owner of the group'). TestStateOfOtherHandover now expects that the partition waits before it begins without the state; that the other handover's state is not used is checked as before. TestStateAfterRecord fails without the change.

--- a/harbour/failure_test.go
+++ b/harbour/failure_test.go
@@ -401,6 +401,47 @@
 	is.True(s.owner(part).count("harbour.acquired") > 0)
 }
 
+// Guards against a new owner that starts without the state of the former one
+// because the record of the handover came before the message with the state.
+func TestStateAfterRecord(t *testing.T) {
+	for _, late := range []bool{false, true} {
+		is := is.New(t)
+		c, now := bareProtocol()
+		c.listedAll(now, nil, 0)
+		c.tick(now, reachableView(now))
+		record := NewRecord("self/1", "y/1", 5)
+		record.handover = "h1"
+		c.observe(now, part, record, 9)
+		is.Equal(len(acquired(c)), 0) // waits for the state
+		if late {
+			now = now.Add(stateWait)
+			c.tick(now, reachableView(now))
+			is.Equal(string(acquired(c)[0].State()), "") // begins without it
+		}
+		c.handover(now, "x/1", order.HandoverMsg{}.WithPartition(part).WithEpoch(5).WithState([]byte("state")).WithHandover("h1"))
+		events := acquired(c)
+		if late {
+			is.Equal(len(events), 0) // begins once only
+			continue
+		}
+		is.Equal(len(events), 1)
+		is.Equal(string(events[0].State()), "state")
+	}
+}
+
+// acquired returns the partitions that began since the last call.
+func acquired(c *protocol) []AcquiredEvent {
+	var events []AcquiredEvent
+	for _, cmd := range c.take() {
+		if e, ok := cmd.(eventCommand); ok {
+			if a, ok := e.event.(AcquiredEvent); ok {
+				events = append(events, a)
+			}
+		}
+	}
+	return events
+}
+
 func bareProtocol() (*protocol, time.Time) {
 	registry := gauge.New(zerolog.Nop())
 	registry.SetStrict(true)
@@ -511,14 +552,17 @@
 	record := NewRecord("self/1", "y/1", 5)
 	record.handover = "second"
 	c.observe(now, part, record, 9)
-	event := c.take()[0].(eventCommand).event.(AcquiredEvent)
+	is.Equal(len(acquired(c)), 0) // the state of its own handover may still come
+	now = now.Add(stateWait)
+	c.expireState(now, c.at(part))
+	event := acquired(c)[0]
 	is.True(event.State() == nil)
 
 	c.handover(now, "x/1", order.HandoverMsg{}.
 		WithPartition("r/01").WithEpoch(5).WithState([]byte("new")).WithHandover("third"))
 	record.handover = "third"
 	c.observe(now, "r/01", record, 10)
-	event = c.take()[0].(eventCommand).event.(AcquiredEvent)
+	event = acquired(c)[0]
 	is.Equal(string(event.State()), "new")
 }
 
--- a/harbour/owner.go
+++ b/harbour/owner.go
@@ -49,11 +49,22 @@
 	c.owned[p.id] = p
 	c.holdsDirty = true
 	c.changeStandby(now, p, "")
-	state := c.inherit(p)
 	c.registry.Count("harbour.acquired")
 	c.log.Info().Str("partition", string(p.id)).Uint64("epoch", uint64(p.record.epoch)).
-		Str("standby", string(p.record.standby)).Bool("handed_over", p.record.handover != "").
-		Int("state_bytes", len(state)).Msg("harbour: acquired partition")
+		Str("standby", string(p.record.standby)).Msg("harbour: acquired partition")
+	state, ok := c.inherit(p)
+	if !ok && p.record.handover != "" {
+		p.stateUntil = now.Add(stateWait)
+		return
+	}
+	c.begin(p, state)
+}
+
+// begin starts the part that serves the partition.
+func (c *protocol) begin(p *partition, state []byte) {
+	p.stateUntil = time.Time{}
+	c.log.Info().Str("partition", string(p.id)).Uint64("epoch", uint64(p.record.epoch)).
+		Bool("handed_over", p.record.handover != "").Int("state_bytes", len(state)).Msg("harbour: partition begins")
 	c.emit(eventCommand{AcquiredEvent{partition: p.id, epoch: p.record.epoch, state: state}})
 }
 
@@ -75,7 +86,10 @@
 	c.registry.Count("harbour.lost")
 	c.log.Info().Str("partition", string(p.id)).Uint64("epoch", uint64(epoch)).
 		Str("owner", string(p.record.owner)).Msg("harbour: lost partition")
-	c.emit(eventCommand{LostEvent{partition: p.id, epoch: epoch}})
+	if p.stateUntil.IsZero() {
+		c.emit(eventCommand{LostEvent{partition: p.id, epoch: epoch}})
+	}
+	p.stateUntil = time.Time{}
 	c.releaseEnded(now, p, epoch)
 }
 
--- a/harbour/protocol.go
+++ b/harbour/protocol.go
@@ -113,6 +113,10 @@
 		release       *release
 		inherited     *inheritance
 		ackTo         order.MemberID
+
+		// stateUntil is until when the partition waits for the state of its
+		// former owner; zero if it does not wait.
+		stateUntil time.Time
 	}
 
 	// pending is a compare-and-swap whose result is not known yet.
@@ -358,6 +362,7 @@
 // decide takes the next step for one partition.
 func (c *protocol) decide(now time.Time, p *partition) {
 	c.expireInherited(now, p)
+	c.expireState(now, p)
 	switch {
 	case p.pending != nil:
 		c.resolve(now, p)
--- a/harbour/release.go
+++ b/harbour/release.go
@@ -40,6 +40,11 @@
 const (
 	ackLimit        = time.Second
 	inheritanceLife = 10 * time.Second
+
+	// stateWait is how long a new owner waits for the state of the former one,
+	// whose message may come later than the record. A link takes under 10 ms;
+	// the rest is for a process that is behind.
+	stateWait = 250 * time.Millisecond
 )
 
 var (
@@ -90,6 +95,9 @@
 }
 
 func (c *protocol) startRelease(_ time.Time, p *partition, target order.MemberID, planned bool) {
+	if !p.stateUntil.IsZero() {
+		c.begin(p, nil)
+	}
 	p.release = &release{target: target, id: ulid.Make().String(), planned: planned}
 	c.refresh(p)
 	c.emit(collectCommand{partition: p.id, epoch: p.hold.epoch})
@@ -192,6 +200,9 @@
 	p := c.at(m.Partition())
 	if p.hold != nil && p.hold.epoch == m.Epoch() && p.record.handover == m.Handover() {
 		p.ackTo = from
+		if !p.stateUntil.IsZero() {
+			c.begin(p, m.State())
+		}
 		return
 	}
 	p.inherited = &inheritance{
@@ -203,15 +214,26 @@
 	}
 }
 
-// inherit returns the state that belongs to the record.
-func (c *protocol) inherit(p *partition) []byte {
+// inherit returns the state that belongs to the record, if it has come.
+func (c *protocol) inherit(p *partition) ([]byte, bool) {
 	i := p.inherited
 	if i == nil || i.epoch != p.record.epoch || i.id != p.record.handover || i.id == "" {
-		return nil
+		return nil, false
 	}
 	p.inherited = nil
 	p.ackTo = i.from
-	return i.state
+	return i.state, true
+}
+
+// expireState starts a partition without the state that it waited for.
+func (c *protocol) expireState(now time.Time, p *partition) {
+	if p.stateUntil.IsZero() || now.Before(p.stateUntil) {
+		return
+	}
+	c.registry.Count("harbour.state_missing")
+	c.log.Warn().Str("partition", string(p.id)).Uint64("epoch", uint64(p.record.epoch)).Dur("waited", stateWait).
+		Msg("harbour: state of the former owner has not come")
+	c.begin(p, nil)
 }
 
 func (c *protocol) expireInherited(now time.Time, p *partition) {
