--- a/chart/host.go
+++ b/chart/host.go
@@ -15,6 +15,7 @@
 
 	hostWire struct {
 		PeerAddress   string    `json:"peer_address" help:"IP address and port for links between processes; others dial it"`
+		PeerListen    string    `json:"peer_listen_address" help:"IP address and port on which links are taken, if others dial this host through a forwarder; empty: peer_address"`
 		AdminAddress  string    `json:"admin_address" help:"IP address and port for metrics and health"`
 		CallerAddress string    `json:"caller_address" help:"IP address and port for clients"`
 		ReadyAddress  string    `json:"ready_address" help:"IP address and port for the platform's look at readiness"`
@@ -74,6 +75,9 @@
 	w := defaultHost()
 	c := Decode(file, data, &w)
 	c.DialAddress("peer_address", w.PeerAddress)
+	if w.PeerListen != "" {
+		c.Address("peer_listen_address", w.PeerListen)
+	}
 	c.Address("admin_address", w.AdminAddress)
 	c.Address("caller_address", w.CallerAddress)
 	c.Address("ready_address", w.ReadyAddress)
@@ -99,6 +103,14 @@
 // PeerAddress returns the address for links between processes.
 func (s Host) PeerAddress() string { return s.w.PeerAddress }
 
+// PeerListen returns the address on which links between processes are taken.
+func (s Host) PeerListen() string {
+	if s.w.PeerListen == "" {
+		return s.w.PeerAddress
+	}
+	return s.w.PeerListen
+}
+
 // AdminAddress returns the address for metrics and health.
 func (s Host) AdminAddress() string { return s.w.AdminAddress }
 
--- a/cmd/host/main.go
+++ b/cmd/host/main.go
@@ -65,9 +65,9 @@
 		platform.NewAdviser(s.AdviceAddress()), platform.Source{})
 	host := pier.New(s.PeerAddress(), s.FailureDomain(), s.PeerSecret(), surroundings, limits, tide.New(), registry, log,
 		pier.WithProcessor(s.Processor()))
-	peers, err := net.Listen("tcp", s.PeerAddress())
+	peers, err := net.Listen("tcp", s.PeerListen())
 	if err != nil {
-		return fmt.Errorf("peer_address: %w", err)
+		return fmt.Errorf("listen for peers on %s: %w", s.PeerListen(), err)
 	}
 	handlers := map[string]http.Handler{
 		s.CallerAddress(): platform.NewFront(host),
--- a/yard/job.go
+++ b/yard/job.go
@@ -66,6 +66,11 @@
 		// lookAgain is when a step of the last rank is looked at again.
 		lookAgain time.Time
 
+		// waitReason is why the step was not started in the last round, and
+		// waitLogged when the log got a line about it.
+		waitReason string
+		waitLogged time.Time
+
 		// gangRuns are the failed runs of a gang.
 		gangRuns   []int
 		checkpoint string
--- a/yard/place.go
+++ b/yard/place.go
@@ -38,6 +38,13 @@
 // backlog would take the owner's processor from everything else.
 const placeVain = 48
 
+const (
+	// waitLogAfter and waitLogEvery bound the lines about steps that wait: none
+	// for those that start soon, one for each reason, then one every 5 s.
+	waitLogAfter = time.Second
+	waitLogEvery = 5 * time.Second
+)
+
 const (
 	rankInTime rank = iota
 	rankLate
@@ -77,7 +84,7 @@
 			continue
 		}
 		if !m.mayRun(t.step.job.team, t.step.spec.Size(), t.step.together()) {
-			m.registry.Count("yard.waits.team_limit")
+			m.waiting(now, t, "team_limit", 0)
 			continue
 		}
 		if t.step.spec.Gang() {
@@ -252,7 +259,7 @@
 			continue
 		}
 		if !m.mayRun(t.step.job.team, size, 1) {
-			m.registry.Count("yard.waits.team_limit")
+			m.waiting(now, t, "team_limit", len(options))
 			return
 		}
 		w := m.choose(now, t, task, options, reserved, true)
@@ -263,9 +270,12 @@
 		m.start(now, task, w, m.nextRun(task))
 		started++
 	}
-	if stale {
+	switch {
+	case stale:
+		m.waiting(now, t, "tickets", len(options))
 		m.ask(now, t.step, t.queue, t.named(nil, options))
-	} else if t.step.waits(now) {
+	case t.step.waits(now):
+		m.waiting(now, t, "room", len(options))
 		m.askMore(now, t)
 	}
 }
@@ -327,7 +337,7 @@
 	options := m.options(now, t)
 	chosen := m.arrange(s, options, reserved)
 	if chosen == nil {
-		m.registry.Count("yard.waits.gang_room")
+		m.waiting(now, t, "gang_room", len(options))
 		m.askMore(now, t)
 		for _, w := range options {
 			reserved[w.id] = true
@@ -335,6 +345,7 @@
 		return
 	}
 	if t.queue.Advice().Needed() && !s.ticketed(now, chosen) {
+		m.waiting(now, t, "tickets", len(options))
 		m.ask(now, s, t.queue, t.named(chosen, options))
 		for _, w := range chosen {
 			reserved[w.id] = true
@@ -363,6 +374,23 @@
 		Dur("until_due", t.due.Sub(now)).Msg("yard: placed")
 }
 
+// waiting notes why a step was not started in this round. The log gets a line
+// when the reason changes, and else every waitLogEvery.
+func (m *Machine) waiting(now time.Time, t turn, reason string, options int) {
+	m.registry.Count("yard.waits." + reason)
+	s := t.step
+	if reason == s.waitReason && now.Sub(s.waitLogged) < waitLogEvery {
+		return
+	}
+	if now.Sub(t.step.job.accepted) < waitLogAfter {
+		return
+	}
+	s.waitReason, s.waitLogged = reason, now
+	m.log.Info().Str("job", string(s.job.id)).Int("occurrence", s.occurrence).Int("step", s.index).Str("reason", reason).
+		Int("options", options).Int("asked", len(s.asked)).Bool("asking", s.asking != 0).Stringer("rank", t.rank).
+		Dur("until_due", t.due.Sub(now)).Msg("yard: waits")
+}
+
 // arrange returns a worker for each task of a gang, or nil if they do not fit.
 // A gang that is slow across racks is kept on one rack where that is possible.
 func (m *Machine) arrange(s *step, options []*worker, reserved map[order.WorkerID]bool) []*worker {
