Start a gang on workers with valid tickets

Cause: a gang was arranged on the workers that fit best, and asked for new tickets if one of them had none. Ruled out: room (most was free), the team's limit, advice without answer (yard: waits names tickets). TestStartsAGangWhereTicketsAreValid failed first.

--- a/yard/machine_test.go
+++ b/yard/machine_test.go
@@ -73,6 +73,29 @@
 	d.is.True(ok)
 }
 
+// Guards against a gang that asks for tickets again and again because the
+// workers that fit best have none, while others have room and valid tickets.
+func TestStartsAGangWhereTicketsAreValid(t *testing.T) {
+	d := newDrive(t, testEpoch)
+	d.configure(testAdvice, order.Resources{})
+	d.list("w1", "w2", "w3")
+	d.call(order.SubmitJob, smallStep(2).WithGang(true).WithPerWorker(1))
+	q, ok := d.question()
+	d.is.True(ok)
+	fuller := d.m.workers["w3"]
+	fuller.used = fuller.used.Plus(order.NewResources(4000, 1<<20, 0))
+	d.advise(q, "w1", "w2", "w3")
+	d.m.jobs[testJob].steps[0].allowed["w3"] = ticket{text: "t-w3", until: d.now}
+	d.commit()
+	on := make(map[order.WorkerID]bool)
+	for range 2 {
+		s, ok := d.takeStart()
+		d.is.True(ok)
+		on[s.order.to.worker] = true
+	}
+	d.is.True(on["w1"] && on["w2"])
+}
+
 // Guards against a second run while the first may still be executed: the
 // start had no answer, and only a stop that the worker confirmed ends that.
 func TestRepeatsAnUnclearStartOnlyAfterItsStop(t *testing.T) {
--- a/yard/place.go
+++ b/yard/place.go
@@ -335,21 +335,9 @@
 func (m *Machine) placeGang(now time.Time, t turn, reserved map[order.WorkerID]bool) {
 	s := t.step
 	options := m.options(now, t)
-	chosen := m.arrange(s, options, reserved)
+	chosen := m.arrange(s, t.ticketed(now, options), reserved)
 	if chosen == nil {
-		m.waiting(now, t, "gang_room", len(options))
-		m.askMore(now, t)
-		for _, w := range options {
-			reserved[w.id] = true
-		}
-		return
-	}
-	if t.queue.Advice().Needed() && !s.ticketed(now, chosen) {
-		m.waiting(now, t, "tickets", len(options))
-		m.ask(now, s, t.queue, t.named(chosen, options))
-		for _, w := range chosen {
-			reserved[w.id] = true
-		}
+		m.holdRoom(now, t, options, reserved)
 		return
 	}
 	run := 0
@@ -362,6 +350,23 @@
 	m.logPlaced(now, t, len(chosen), len(options))
 }
 
+// holdRoom keeps the room that a gang is to have from the steps behind it, and
+// asks for the tickets that it lacks.
+func (m *Machine) holdRoom(now time.Time, t turn, options []*worker, reserved map[order.WorkerID]bool) {
+	chosen := m.arrange(t.step, options, reserved)
+	if chosen == nil {
+		m.waiting(now, t, "gang_room", len(options))
+		m.askMore(now, t)
+		chosen = options
+	} else {
+		m.waiting(now, t, "tickets", len(options))
+		m.ask(now, t.step, t.queue, t.named(chosen, options))
+	}
+	for _, w := range chosen {
+		reserved[w.id] = true
+	}
+}
+
 // logPlaced writes one line for the tasks of a step that were started now.
 func (m *Machine) logPlaced(now time.Time, t turn, started, options int) {
 	if started == 0 {
@@ -435,14 +440,18 @@
 	return chosen
 }
 
-// ticketed reports whether all tickets are valid.
-func (s *step) ticketed(now time.Time, workers []*worker) bool {
-	for _, w := range workers {
-		if !s.allowed[w.id].until.After(now) {
-			return false
+// ticketed returns the workers on which the step may start now.
+func (t turn) ticketed(now time.Time, options []*worker) []*worker {
+	if !t.queue.Advice().Needed() {
+		return options
+	}
+	list := make([]*worker, 0, len(options))
+	for _, w := range options {
+		if t.step.allowed[w.id].until.After(now) {
+			list = append(list, w)
 		}
 	}
-	return true
+	return list
 }
 
 // named returns the workers for a question that renews tickets: the chosen
