--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -24,6 +24,12 @@
 	go test -count=1 -timeout 540s "${skip[@]}" "${randomised[@]}" -rapid.seed="$seed"
 	;;
 soak)
+	if [ -n "${SEED:-}" ]; then
+		# One seed again, with the times of its faults; the logs are kept.
+		SOAK_SEED=$SEED SOAK_LENGTH=${LENGTH:-20s} go test -count=1 -v -timeout 3600s ./soak
+		exit
+	fi
+	SOAK_SEEDS=${SEEDS:-20} SOAK_LENGTH=${LENGTH:-20s} go test -count=1 -timeout 3600s -parallel 3 ./soak
 	VOYAGE_SOAK=${SOAK:-10m} go test -count=1 -timeout 3600s "${skip[@]}" "${others[@]}"
 	go test -count=1 -timeout 3600s "${skip[@]}" "${randomised[@]}" -rapid.checks="${CHECKS:-2000}"
 	;;
--- a/yard/advice.go
+++ b/yard/advice.go
@@ -1,8 +1,8 @@
 package yard
 
 import (
+	"cmp"
 	"slices"
-	"sort"
 	"time"
 
 	"chervilhollow/order"
@@ -71,19 +71,29 @@
 	}
 }
 
-// ask has an entry host ask which of the workers may run the step.
-func (m *Machine) ask(now time.Time, s *step, q tariff.Queue, workers []order.WorkerID) {
-	if s.asking != 0 || now.Before(s.askAgain) || len(workers) == 0 {
-		return
+// hostFor returns the host that could ask about so many workers now, if there
+// is one.
+func (m *Machine) hostFor(now time.Time, s *step, q tariff.Queue, workers int) (order.MemberID, bool) {
+	if s.asking != 0 || now.Before(s.askAgain) || workers == 0 {
+		return "", false
 	}
 	name := m.idlest(now)
-	h := m.hosts[name]
-	took := q.Advice().Duration(len(workers))
-	if h.busyUntil.Sub(now) > adviceBacklog || (took > shortQuestion && m.longHosts(now) >= m.longMost()) {
+	long := q.Advice().Duration(workers) > shortQuestion
+	if m.hosts[name].busyUntil.Sub(now) > adviceBacklog || (long && m.longHosts(now) >= m.longMost()) {
 		m.registry.Count("yard.waits.advice")
+		return "", false
+	}
+	return name, true
+}
+
+// ask has an entry host ask which of the workers may run the step.
+func (m *Machine) ask(now time.Time, s *step, q tariff.Queue, workers []order.WorkerID) {
+	name, ok := m.hostFor(now, s, q, len(workers))
+	if !ok {
 		return
 	}
-	h.busyUntil = tide.Later(h.busyUntil, now).Add(took)
+	h := m.hosts[name]
+	h.busyUntil = tide.Later(h.busyUntil, now).Add(q.Advice().Duration(len(workers)))
 	m.lastCall++
 	s.asking = m.lastCall
 	m.advices[m.lastCall] = &advice{step: s, workers: workers, host: name, asked: now, expires: h.busyUntil.Add(adviceTimeout)}
@@ -92,6 +102,14 @@
 		WithOccurrence(s.occurrence).WithStep(s.index).WithWorkers(workers)})
 }
 
+// askNew asks about workers that the step has not asked about yet. They are
+// looked for only if a host could ask.
+func (m *Machine) askNew(now time.Time, s *step, q tariff.Queue) {
+	if _, ok := m.hostFor(now, s, q, 1); ok {
+		m.ask(now, s, q, m.candidates(now, s, q))
+	}
+}
+
 // longHosts counts the hosts that are busy for longer than a short question.
 func (m *Machine) longHosts(now time.Time) int {
 	n := 0
@@ -110,18 +128,15 @@
 
 // idlest returns the host whose questions are answered first.
 func (m *Machine) idlest(now time.Time) order.MemberID {
-	names := make([]order.MemberID, 0, len(m.hosts))
-	for name := range m.hosts {
-		names = append(names, name)
-	}
-	sort.Slice(names, func(i, j int) bool {
-		a, b := tide.Later(m.hosts[names[i]].busyUntil, now), tide.Later(m.hosts[names[j]].busyUntil, now)
-		if !a.Equal(b) {
-			return a.Before(b)
+	var first order.MemberID
+	var least time.Time
+	for name, h := range m.hosts {
+		until := tide.Later(h.busyUntil, now)
+		if first == "" || until.Before(least) || (until.Equal(least) && name < first) {
+			first, least = name, until
 		}
-		return names[i] < names[j]
-	})
-	return names[0]
+	}
+	return first
 }
 
 // advised takes the answer to a question.
@@ -184,24 +199,30 @@
 // that it has not asked about, the ones with the most room first, as many as
 // the answer's time allows.
 func (m *Machine) candidates(now time.Time, s *step, q tariff.Queue) []order.WorkerID {
-	var list []*worker
+	type candidate struct {
+		id   order.WorkerID
+		free float64
+	}
+	list := make([]candidate, 0, len(m.workers))
 	for _, w := range m.sortedWorkers() {
 		if !s.asked[w.id] && m.usable(now, w, q.Service()) && m.suits(w, s) {
-			list = append(list, w)
+			list = append(list, candidate{id: w.id, free: w.free()})
 		}
 	}
-	sort.SliceStable(list, func(i, j int) bool { return list[i].free() > list[j].free() })
-	most := min(adviceMost, max(adviceLeast, q.Advice().Affordable()))
-	if len(list) > most {
-		list = list[:most]
-	}
+	slices.SortStableFunc(list, func(a, b candidate) int { return cmp.Compare(b.free, a.free) })
+	list = list[:min(len(list), m.mostNamed(q))]
 	ids := make([]order.WorkerID, 0, len(list))
-	for _, w := range list {
-		ids = append(ids, w.id)
+	for _, c := range list {
+		ids = append(ids, c.id)
 	}
 	return ids
 }
 
+// mostNamed returns how many workers a question of the queue may name.
+func (m *Machine) mostNamed(q tariff.Queue) int {
+	return min(adviceMost, max(adviceLeast, q.Advice().Affordable()))
+}
+
 // free returns the part of the worker's processor and memory that is free,
 // whichever is less.
 func (w *worker) free() float64 {
--- a/yard/place.go
+++ b/yard/place.go
@@ -105,7 +105,7 @@
 	if t.step.asking != 0 || now.Before(t.step.askAgain) {
 		return 0
 	}
-	m.ask(now, t.step, t.queue, m.candidates(now, t.step, t.queue))
+	m.askNew(now, t.step, t.queue)
 	if t.step.asking == 0 {
 		return 1
 	}
@@ -273,7 +273,7 @@
 	switch {
 	case stale:
 		m.waiting(now, t, "tickets", len(options))
-		m.ask(now, t.step, t.queue, t.named(nil, options))
+		m.renew(now, t, nil, options)
 	case t.step.waits(now):
 		m.waiting(now, t, "room", len(options))
 		m.askMore(now, t)
@@ -283,8 +283,8 @@
 // askMore asks about workers that were not named yet, for a step that finds no
 // room on those that may run it.
 func (m *Machine) askMore(now time.Time, t turn) {
-	if t.queue.Advice().Needed() && t.step.asking == 0 {
-		m.ask(now, t.step, t.queue, m.candidates(now, t.step, t.queue))
+	if t.queue.Advice().Needed() {
+		m.askNew(now, t.step, t.queue)
 	}
 }
 
@@ -360,7 +360,7 @@
 		chosen = options
 	} else {
 		m.waiting(now, t, "tickets", len(options))
-		m.ask(now, t.step, t.queue, t.named(chosen, options))
+		m.renew(now, t, chosen, options)
 	}
 	for _, w := range chosen {
 		reserved[w.id] = true
@@ -454,20 +454,26 @@
 	return list
 }
 
+// renew asks for new tickets.
+func (m *Machine) renew(now time.Time, t turn, chosen, options []*worker) {
+	if _, ok := m.hostFor(now, t.step, t.queue, 1); ok {
+		m.ask(now, t.step, t.queue, m.named(t, chosen, options))
+	}
+}
+
 // named returns the workers for a question that renews tickets: the chosen
 // ones whose tickets end first, and others that are allowed as far as the
 // answer's time allows.
-func (t turn) named(chosen, options []*worker) []order.WorkerID {
-	most := min(adviceMost, max(adviceLeast, t.queue.Advice().Affordable()))
+func (m *Machine) named(t turn, chosen, options []*worker) []order.WorkerID {
 	first := slices.Compact(slices.Clone(chosen))
-	sort.SliceStable(first, func(i, j int) bool {
-		return t.step.allowed[first[i].id].until.Before(t.step.allowed[first[j].id].until)
+	slices.SortStableFunc(first, func(a, b *worker) int {
+		return t.step.allowed[a.id].until.Compare(t.step.allowed[b.id].until)
 	})
-	var list []order.WorkerID
+	first = first[:min(len(first), adviceMost)]
+	most := max(len(first), m.mostNamed(t.queue))
+	list := make([]order.WorkerID, 0, most)
 	for _, w := range first {
-		if len(list) < adviceMost {
-			list = append(list, w.id)
-		}
+		list = append(list, w.id)
 	}
 	for _, w := range options {
 		if len(list) < most && !slices.Contains(list, w.id) {
--- a/yard/worker.go
+++ b/yard/worker.go
@@ -84,14 +84,18 @@
 	// lease six times before it ends.
 	holdWait = time.Second
 
+	// idleWait is the same for a worker that runs nothing and needs no lease;
+	// the platform's page allows no more.
+	idleWait = 2 * time.Second
+
 	// holdPause gathers several ends into one answer.
 	holdPause = 25 * time.Millisecond
 
 	// holdRetry is the delay after a failed HoldOrder.
 	holdRetry = 250 * time.Millisecond
 
-	// unstoredPause is the delay while ends cannot be stored, since the worker
-	// answers at once as long as they are not acknowledged.
+	// unstoredPause is the longest further delay while ends are not stored,
+	// since the worker answers at once as long as they are not acknowledged.
 	unstoredPause = 300 * time.Millisecond
 
 	// leaveWindow is less than the three heartbeats (4.5 s) after which the
@@ -189,12 +193,18 @@
 			continue
 		}
 		m.acknowledge(w)
+		if len(w.ends) > 0 && now.Before(w.holdNext.Add(unstoredPause)) {
+			continue
+		}
 		w.holding = true
 		o := HoldOrder{to: w.address(), epoch: m.epoch, seen: w.acked}
 		// A worker that does not answer gets no longer lease, so that what it
 		// runs has ended for certain at some time.
 		if w.reached && w.misses == 0 {
 			o.wait = holdWait
+			if len(w.attempts) == 0 {
+				o.wait = idleWait
+			}
 			o.deadline = m.grant(now, w)
 		}
 		m.emit(HoldCmd{order: o})
@@ -276,10 +286,6 @@
 	m.takeEnds(now, w, in.report.ended)
 	m.takeRunning(now, w, in)
 	w.holdNext = now.Add(holdPause)
-	m.acknowledge(w)
-	if len(w.ends) > 0 && len(in.report.ended) > 0 && w.ends[0].number < in.report.ended[0].number {
-		w.holdNext = now.Add(unstoredPause)
-	}
 }
 
 func (m *Machine) holdFailed(now time.Time, w *worker, err error) {
