--- a/yard/machine_test.go
+++ b/yard/machine_test.go
@@ -176,6 +176,28 @@
 	d.is.Equal(h.order.seen, int64(1))
 }
 
+// Guards against a stop for each member of a gang that is done: one end stands
+// for all, and the others end by themselves.
+func TestStopsNoMemberOfAGangThatIsDone(t *testing.T) {
+	d := newDrive(t, testEpoch)
+	d.configure(tariff.Advice{}, order.Resources{})
+	d.list("w1")
+	d.call(order.SubmitJob, smallStep(3).WithGang(true))
+	d.commit()
+	var last StartCmd
+	for range 3 {
+		s, ok := d.takeStart()
+		d.is.True(ok)
+		d.started(s, nil)
+		last = s
+	}
+	d.wait(100 * time.Millisecond)
+	d.held("w1", nil, []EndedTask{NewEnded(1, last.order.task, last.order.run, EndDone, "")})
+	d.commit()
+	_, ok := d.takeStop()
+	d.is.True(!ok)
+}
+
 // Guards against starts above the team's limit.
 func TestKeepsTeamLimit(t *testing.T) {
 	d := newDrive(t, testEpoch)
--- a/yard/submit.go
+++ b/yard/submit.go
@@ -169,7 +169,8 @@
 	m.touch(j)
 	for _, s := range j.steps {
 		for _, t := range s.tasks {
-			if t.attempt != nil {
+			// What runs of a task that is done ends by itself, or was told to.
+			if t.attempt != nil && t.state != taskDone {
 				m.stop(now, t.attempt)
 			}
 		}
