--- a/yard/machine_test.go
+++ b/yard/machine_test.go
@@ -181,8 +181,8 @@
 func TestStopsNoMemberOfAGangThatIsDone(t *testing.T) {
 	d := newDrive(t, testEpoch)
 	d.configure(tariff.Advice{}, order.Resources{})
-	d.list("w1")
-	d.call(order.SubmitJob, smallStep(3).WithGang(true))
+	d.list("w1", "w2", "w3")
+	d.call(order.SubmitJob, smallStep(3).WithGang(true).WithPerWorker(1))
 	d.commit()
 	var last StartCmd
 	for range 3 {
@@ -192,7 +192,7 @@
 		last = s
 	}
 	d.wait(100 * time.Millisecond)
-	d.held("w1", nil, []EndedTask{NewEnded(1, last.order.task, last.order.run, EndDone, "")})
+	d.held(last.order.to.worker, nil, []EndedTask{NewEnded(1, last.order.task, last.order.run, EndDone, "")})
 	d.commit()
 	_, ok := d.takeStop()
 	d.is.True(!ok)
