Store a backlog of changes faster, awaited ones first

Cause: batches of 14 jobs went out every 20 ms at most, 700 changes a second. Ruled out: room and tickets (yard: waits names few steps in time), the store (4 ms a call). TestStoresNewJobsBeforeProgress and TestStoresABacklogFaster failed first.

--- a/chart/host.go
+++ b/chart/host.go
@@ -37,6 +37,7 @@
 	hostLimit struct {
 		MaxLease  Duration `json:"max_lease" help:"longest lease of a worker"`
 		KeepEnded Duration `json:"keep_ended" help:"time that ended jobs are shown"`
+		Writes    float64  `json:"store_writes" help:"writes a second that the store takes from all hosts together"`
 	}
 )
 
@@ -44,6 +45,10 @@
 // stay within; the rest holds buffers of the kernel and of C code.
 const memoryShare = 0.7
 
+// defaultStoreWrites is the write rate of the store on the smallest
+// deployments, a second.
+const defaultStoreWrites = 400
+
 func defaultHost() hostWire {
 	return hostWire{
 		LogLevel: "info",
@@ -51,6 +56,7 @@
 		Limits: hostLimit{
 			MaxLease:  Duration(10 * time.Second),
 			KeepEnded: Duration(2 * time.Minute),
+			Writes:    defaultStoreWrites,
 		},
 	}
 }
@@ -97,6 +103,7 @@
 	c.Positive("machine.memory_mebibytes", float64(w.Machine.Mebibytes))
 	c.Positive("limits.max_lease", float64(w.Limits.MaxLease))
 	c.Positive("limits.keep_ended", float64(w.Limits.KeepEnded))
+	c.Positive("limits.store_writes", w.Limits.Writes)
 	return Host{w: w}, c.Err()
 }
 
@@ -150,5 +157,8 @@
 // MaxLease returns the longest lease of a worker.
 func (s Host) MaxLease() time.Duration { return time.Duration(s.w.Limits.MaxLease) }
 
+// StoreWrites returns how many writes a second the store takes.
+func (s Host) StoreWrites() float64 { return s.w.Limits.Writes }
+
 // KeepEnded returns how long ended jobs are shown.
 func (s Host) KeepEnded() time.Duration { return time.Duration(s.w.Limits.KeepEnded) }
--- a/chart/host_test.go
+++ b/chart/host_test.go
@@ -20,6 +20,7 @@
 		"{{ip}}", "10.1.0.17", "{{internalPorts.0}}", "7420", "{{listen.front}}", "10.1.0.17:8183",
 		"{{listen.ready}}", "10.1.0.17:8184", "{{platform.address}}", "10.200.1.7:8582", "{{advice}}", "10.200.1.9:8182",
 		"{{zone}}", "brisbane-a", "{{limits.cores}}", "1", "{{limits.cpuShare}}", "0.4", "{{limits.memoryMb}}", "284",
+		"{{#platform.writesPerS}}", "", "{{/platform.writesPerS}}", "", "{{.}}", "1200.0",
 		"{{bounds.maxHoldMs}}", "10000", "{{bounds.status_s}}", "120")
 	return values.Replace(string(text))
 }
@@ -33,6 +34,7 @@
 	is.NoErr(err)
 	is.Equal(s.PeerAddress(), "10.1.0.17:7420")
 	is.Equal(s.Processor(), 0.4)
+	is.Equal(s.StoreWrites(), 1200.0)
 }
 
 // Guards against a truncated or wrong settings file that is taken.
--- a/cmd/host/main.go
+++ b/cmd/host/main.go
@@ -60,7 +60,7 @@
 
 func serve(s chart.Host, registry *gauge.Registry, log zerolog.Logger) error {
 	registry.SetLog(log)
-	limits := yard.NewLimits(s.MaxLease(), s.KeepEnded())
+	limits := yard.NewLimits(s.MaxLease(), s.KeepEnded()).WithWrites(s.StoreWrites())
 	surroundings := pier.NewPlatform(platform.NewStore(s.StoreAddress(), registry), platform.NewWorker(),
 		platform.NewAdviser(s.AdviceAddress()), platform.Source{})
 	host := pier.New(s.PeerAddress(), s.FailureDomain(), s.PeerSecret(), surroundings, limits, tide.New(), registry, log,
--- a/soak/client_test.go
+++ b/soak/client_test.go
@@ -74,13 +74,13 @@
 	}
 	switch c.random.IntN(5) {
 	case 0:
-		first := step(1+c.random.IntN(4), 1500, time.Duration(500+c.random.IntN(1500))*time.Millisecond)
+		first := step(1+c.random.IntN(4), 1500, time.Duration(500+c.random.IntN(5000))*time.Millisecond)
 		first.Saves, first.PerWorker = true, 2
 		second := step(1+c.random.IntN(2), 1000, 400*time.Millisecond)
 		second.After = []int{0}
 		j.Steps = []standin.Step{first, second}
 	case 1:
-		gang := step(2+c.random.IntN(4), 2000, time.Duration(500+c.random.IntN(1500))*time.Millisecond)
+		gang := step(2+c.random.IntN(4), 2000, time.Duration(500+c.random.IntN(4000))*time.Millisecond)
 		gang.Gang, gang.Saves, gang.Fails = true, c.random.IntN(2) == 0, 0.01
 		j.Steps = []standin.Step{gang}
 	default:
--- a/soak/fault_test.go
+++ b/soak/fault_test.go
@@ -1,6 +1,8 @@
 package soak
 
 import (
+	"bytes"
+	"context"
 	"fmt"
 	"syscall"
 	"time"
@@ -41,9 +43,30 @@
 	{"a worker fails all or stands still", false, (*soak).sickenWorker},
 }
 
+// ownerKey is the key of the record that names the owner of the cell.
+const ownerKey = "cell/owner"
+
 func nothing() error { return nil }
 
-func (s *soak) host() *entryHost { return s.cluster.hosts[s.intN(hostCount)] }
+// hostIndex draws a host, half of the time the owner of the cell.
+func (s *soak) hostIndex() int {
+	i := s.intN(hostCount)
+	if s.intN(2) == 0 {
+		return i
+	}
+	record, err := s.cluster.platform.Memory().Get(context.Background(), ownerKey)
+	if err != nil {
+		return i
+	}
+	for owner, h := range s.cluster.hosts {
+		if bytes.Contains(record.Value(), []byte(h.peers.address())) {
+			return owner
+		}
+	}
+	return i
+}
+
+func (s *soak) host() *entryHost { return s.cluster.hosts[s.hostIndex()] }
 
 // owned runs the fault on a host on which no other fault of a process is under
 // way; otherwise it does nothing.
@@ -138,7 +161,7 @@
 }
 
 func (s *soak) refuseHost() (func() error, error) {
-	i := s.intN(hostCount)
+	i := s.hostIndex()
 	return s.setStores(s.cluster.stores[i:i+1], standin.StoreFaults{Refuse: refusals[s.intN(len(refusals))]})
 }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -42,7 +42,7 @@
 	clientPause = 400 * time.Millisecond
 
 	// drivers is how many series of faults overlap.
-	drivers = 2
+	drivers = 3
 
 	// finishLimit is how long accepted jobs may take once all faults are
 	// over, by the platform's page.
@@ -184,7 +184,7 @@
 		s.report("%s: %v", f.name, err)
 		return
 	}
-	s.wait(300*time.Millisecond, 4*time.Second, f.planned)
+	s.wait(300*time.Millisecond, 6*time.Second, f.planned)
 	if err := end(); err != nil {
 		s.report("end of %s: %v", f.name, err)
 	}
--- a/yard/drive_test.go
+++ b/yard/drive_test.go
@@ -42,7 +42,7 @@
 	registry.SetStrict(true)
 	d := &drive{t: t, is: is.New(t), now: testStart, version: 10}
 	record := depot.NewEntry("cell/owner", nil, 1)
-	d.m = New(testMember, epoch, record, NewLimits(10*time.Second, time.Minute), d.now, registry, zerolog.Nop())
+	d.m = New(testMember, epoch, record, NewLimits(10*time.Second, time.Minute).WithWrites(400), d.now, registry, zerolog.Nop())
 	return d
 }
 
--- a/yard/journal.go
+++ b/yard/journal.go
@@ -43,18 +43,26 @@
 	JobPrefix = "job/"
 
 	// maxFlights is the number of batches on their way at once; with answers
-	// after 4 ms one is enough, and a store slowed 50 times still takes 300
+	// after 4 ms two are enough, and a store slowed 60 times still takes 900
 	// job changes a second.
-	maxFlights = 4
+	maxFlights = 16
 
-	// flushInterval bounds the batches to 50 a second, an eighth of the store's
-	// write rate on the smallest deployment.
+	// flushInterval bounds the batches to 50 a second while they are not full,
+	// so that each holds the changes of some time.
 	flushInterval = 20 * time.Millisecond
 
+	// writeShare is the part of the store's write rate that full batches may
+	// use: one in this many. The rest is for leases, claims and repeats.
+	writeShare = 2
+
 	// batchJobs is how many jobs fit into a batch, each with an expectation
 	// and a write, beside the ownership record and the list of workers.
 	batchJobs = (depot.MaxBatch - 4) / 2
 
+	// lateJobs is how many of these are kept for the changes that nobody waits
+	// for, so that they are stored too while others keep coming.
+	lateJobs = 4
+
 	// stallAfter is how long a batch may be on its way before new jobs are
 	// refused; another process that reaches the store takes over before that.
 	stallAfter = 900 * time.Millisecond
@@ -80,7 +88,7 @@
 
 // flush sends the changes that wait, in the order in which they came.
 func (m *Machine) flush(now time.Time) {
-	for len(m.journal.flights) < maxFlights && now.Sub(m.journal.flushed) >= flushInterval {
+	for len(m.journal.flights) < maxFlights && now.Sub(m.journal.flushed) >= m.flushAfter() {
 		batch, f := m.pack()
 		if len(batch.Writes())+len(batch.Deletes()) == 0 {
 			return
@@ -94,6 +102,14 @@
 	}
 }
 
+// flushAfter returns how long after one batch the next may be sent.
+func (m *Machine) flushAfter() time.Duration {
+	if len(m.journal.dirty) < batchJobs || m.limits.writes <= 0 {
+		return flushInterval
+	}
+	return min(flushInterval, time.Duration(writeShare*float64(time.Second)/m.limits.writes))
+}
+
 // storeStalled reports whether the store takes no batches.
 func (m *Machine) storeStalled(now time.Time) bool {
 	for _, f := range m.journal.flights {
@@ -127,24 +143,31 @@
 	m.journal.dirty = left
 }
 
-// pack takes the next jobs that have no batch on its way already.
+// pack takes the next jobs that have no batch on its way already: those that a
+// client waits for or that have ended first, each in the order of the changes.
 func (m *Machine) pack() (depot.Batch, flight) {
 	batch := depot.Batch{}.Expect(m.journal.record.Key(), m.journal.record.Version())
 	var f flight
+	late := 0
+	for _, j := range m.journal.dirty {
+		if !j.flying && !j.awaited() {
+			late++
+		}
+	}
+	room := batchJobs - min(late, lateJobs)
+	for _, awaited := range []bool{true, false} {
+		for _, j := range m.journal.dirty {
+			if len(f.jobs) < room && j.dirty && !j.flying && j.awaited() == awaited {
+				batch = m.packJob(batch, &f, j)
+			}
+		}
+		room = batchJobs
+	}
 	waiting := m.journal.dirty[:0:0]
 	for _, j := range m.journal.dirty {
-		if j.flying || len(f.jobs) == batchJobs {
+		if j.dirty {
 			waiting = append(waiting, j)
-			continue
 		}
-		value, err := j.record().MarshalCBOR()
-		if err != nil {
-			m.registry.Invariant(false, "job_record", "job %s cannot be encoded: %v", j.id, err)
-			continue
-		}
-		batch = batch.Expect(jobKey(j.id), j.version).Put(jobKey(j.id), value, 0)
-		f.jobs, f.seqs, f.states = append(f.jobs, j), append(f.seqs, j.seq), append(f.states, j.state)
-		j.flying, j.flown, j.dirty = true, true, false
 	}
 	m.journal.dirty = waiting
 	batch, f.workers = m.packWorkers(batch)
@@ -156,6 +179,22 @@
 	return batch, f
 }
 
+// packJob adds the present state of a job to the batch.
+func (m *Machine) packJob(batch depot.Batch, f *flight, j *job) depot.Batch {
+	j.dirty = false
+	value, err := j.record().MarshalCBOR()
+	if err != nil {
+		m.registry.Invariant(false, "job_record", "job %s cannot be encoded: %v", j.id, err)
+		return batch
+	}
+	f.jobs, f.seqs, f.states = append(f.jobs, j), append(f.seqs, j.seq), append(f.states, j.state)
+	j.flying, j.flown = true, true
+	return batch.Expect(jobKey(j.id), j.version).Put(jobKey(j.id), value, 0)
+}
+
+// awaited reports whether a client waits for the change, or may ask for it.
+func (j *job) awaited() bool { return len(j.waiters) > 0 || j.state.Ended() }
+
 // packWorkers adds the list of workers to the batch if it has changed.
 func (m *Machine) packWorkers(batch depot.Batch) (depot.Batch, []*worker) {
 	if !m.journal.workersDirty || m.journal.workersFlying {
--- a/yard/machine.go
+++ b/yard/machine.go
@@ -54,10 +54,13 @@
 		at   time.Time
 	}
 
-	// Limits are bounds that the platform sets.
+	// Limits are bounds that the platform sets: the longest lease of a worker,
+	// how long ended jobs are shown, and how many writes a second its store
+	// takes.
 	Limits struct {
 		maxHold time.Duration
 		keep    time.Duration
+		writes  float64
 	}
 
 	// Command is what the machine wants done.
@@ -180,6 +183,12 @@
 	return Limits{maxHold: maxHold, keep: keep}
 }
 
+// WithWrites returns a copy for a store that takes so many writes a second.
+func (l Limits) WithWrites(perSecond float64) Limits {
+	l.writes = perSecond
+	return l
+}
+
 // NewConfigMsg returns the input for a configuration.
 func NewConfigMsg(config *tariff.Config, withdrawn []order.DomainName) ConfigMsg {
 	return ConfigMsg{config: config, withdrawn: withdrawn}
--- a/yard/machine_test.go
+++ b/yard/machine_test.go
@@ -198,6 +198,61 @@
 	d.is.True(!ok)
 }
 
+// Guards against a client that waits for its job to be stored behind a backlog
+// of changes that nobody waits for.
+func TestStoresNewJobsBeforeProgress(t *testing.T) {
+	d := newDrive(t, testEpoch)
+	d.configure(tariff.Advice{}, order.Resources{})
+	d.list("w1")
+	for i := range 4 * batchJobs {
+		d.submit(i, smallStep(2))
+		if i%10 == 0 {
+			d.commit()
+		}
+	}
+	d.commit()
+	for _, j := range d.m.active {
+		d.m.touch(j)
+	}
+	d.m.Step(d.now, NewCallMsg("client", order.JobCallMsg{}.WithVerb(order.SubmitJob).WithHost(testHost).
+		WithPath("/proofs/"+testJob).WithKey(testKey).WithSpec(order.JobSpec{}.WithSteps([]order.JobStep{smallStep(1)}))))
+	d.wait(2 * flushInterval)
+	c, ok := d.takeCommit()
+	d.is.True(ok)
+	d.is.Equal(c.batch.Writes()[0].Key(), jobKey(testJob))
+}
+
+// Guards against a backlog of changes that a fixed interval between batches
+// keeps from the store for seconds.
+func TestStoresABacklogFaster(t *testing.T) {
+	d := newDrive(t, testEpoch)
+	d.configure(tariff.Advice{}, order.Resources{})
+	d.list("w1")
+	for i := range 8 * batchJobs {
+		d.submit(i, smallStep(2))
+		if i%10 == 0 {
+			d.commit()
+		}
+	}
+	d.commit()
+	for _, j := range d.m.active {
+		d.m.touch(j)
+	}
+	n := 0
+	for range 8 {
+		d.now = d.now.Add(5 * time.Millisecond) // 200 a second, half of the store's rate
+		d.settle()
+		for c, ok := d.takeCommit(); ok; c, ok = d.takeCommit() {
+			n += len(c.batch.Writes())
+			d.version++
+			d.m.Step(d.now, CommittedMsg{flight: c.flight, version: d.version})
+		}
+	}
+	if n < 7*batchJobs {
+		t.Fatalf("%d changes were stored in 40 ms", n)
+	}
+}
+
 // Guards against starts above the team's limit.
 func TestKeepsTeamLimit(t *testing.T) {
 	d := newDrive(t, testEpoch)
