--- a/yard/machine_test.go
+++ b/yard/machine_test.go
@@ -253,6 +253,19 @@
 	}
 }
 
+// Guards against a task that lasts and, restarted late in the life of its job,
+// waits behind all others.
+func TestRestartsLastingTasksFirst(t *testing.T) {
+	d := newDrive(t, testEpoch)
+	d.configure(tariff.Advice{}, order.Resources{})
+	d.list("w1")
+	d.call(order.SubmitJob, smallStep(1).WithLasting(true))
+	d.commit()
+	s := d.m.jobs[testJob].steps[0]
+	q, _ := d.m.config.Queue(testQueue)
+	d.is.Equal(newTurn(d.now.Add(time.Hour), s, q).rank, rankInTime)
+}
+
 // Guards against starts above the team's limit.
 func TestKeepsTeamLimit(t *testing.T) {
 	d := newDrive(t, testEpoch)
--- a/yard/place.go
+++ b/yard/place.go
@@ -150,6 +150,8 @@
 	objective := q.Target() + time.Duration(q.Stretch()*float64(s.jobChain))
 	t := turn{step: s, queue: q, due: start.Add(objective)}
 	switch finish := now.Add(s.chain); {
+	case s.spec.Lasting():
+		// A task that lasts is restarted at once, however old its job is.
 	case j.excess || finish.After(start.Add(lateFactor*objective)):
 		t.rank = rankHopeless
 	case finish.After(t.due):
