--- a/harbour/keeper_test.go
+++ b/harbour/keeper_test.go
@@ -195,6 +195,17 @@
 	return e.Epoch() != 0 && v.keeper.Remaining(id, e.Epoch()) > 0
 }
 
+// owned returns the partitions for which the node may act now.
+func (v *node) owned(all []order.PartitionID) []order.PartitionID {
+	var owned []order.PartitionID
+	for _, id := range all {
+		if v.acts(id) {
+			owned = append(owned, id)
+		}
+	}
+	return owned
+}
+
 // stop ends the node and withdraws its lease.
 func (v *node) stop() {
 	v.cancel()
@@ -312,12 +323,7 @@
 	store := depot.NewMemory(tide.New())
 	nodes := startAll(t, store, 3, ids(16))
 	leaver, rest := nodes[0], nodes[1:]
-	var owned []order.PartitionID
-	for _, id := range ids(16) {
-		if leaver.acts(id) {
-			owned = append(owned, id)
-		}
-	}
+	owned := leaver.owned(ids(16))
 	is.True(len(owned) > 0)
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
@@ -343,12 +349,7 @@
 	store := depot.NewMemory(tide.New())
 	nodes := startAll(t, store, 3, ids(16))
 	leaver, rest := nodes[0], nodes[1:]
-	var owned []order.PartitionID
-	for _, id := range ids(16) {
-		if leaver.acts(id) {
-			owned = append(owned, id)
-		}
-	}
+	owned := leaver.owned(ids(16))
 	is.True(len(owned) > 0)
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
--- a/soak/client_test.go
+++ b/soak/client_test.go
@@ -52,7 +52,7 @@
 func newClient(c *cluster, seed uint64, key func() string) *client {
 	random := rand.New(rand.NewPCG(seed, 3))
 	return &client{
-		cluster: c, random: random, key: key, host: random.IntN(hostCount),
+		cluster: c, random: random, key: key, host: random.IntN(len(c.hosts)),
 		http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2}},
 	}
 }
@@ -166,7 +166,7 @@
 	return r.state, nil
 }
 
-func (c *client) rotate() { c.host = (c.host + 1 + c.random.IntN(hostCount-1)) % hostCount }
+func (c *client) rotate() { c.host = (c.host + 1 + c.random.IntN(len(c.cluster.hosts)-1)) % len(c.cluster.hosts) }
 
 // call makes one call to the client's host.
 func (c *client) call(method string, j *standin.Job) (reply, error) {
--- a/soak/cluster_test.go
+++ b/soak/cluster_test.go
@@ -22,7 +22,9 @@
 }
 
 const (
-	hostCount   = 5
+	// usualHosts is how many hosts run if SOAK_HOSTS does not say so; each is
+	// a process.
+	usualHosts  = 8
 	workerCount = 12
 
 	workerCPU    = 8000
@@ -44,7 +46,7 @@
 
 // newCluster starts the platform and all hosts. The seed chooses which runs
 // fail; the subnet keeps clusters that run at the same time apart.
-func newCluster(dir, program, subnet string, seed uint64) (*cluster, error) {
+func newCluster(dir, program, subnet string, seed uint64, hosts int) (*cluster, error) {
 	c := &cluster{dir: dir, platform: standin.New(seed)}
 	advice, err := c.platform.ServeAdvice(subnet + ".1:7000")
 	if err != nil {
@@ -58,7 +60,7 @@
 			return c, err
 		}
 	}
-	for i := range hostCount {
+	for i := range hosts {
 		if err := c.addHost(subnet, program, advice, i); err != nil {
 			return c, err
 		}
--- a/soak/fault_test.go
+++ b/soak/fault_test.go
@@ -50,7 +50,7 @@
 
 // hostIndex draws a host, half of the time the owner of the cell.
 func (s *soak) hostIndex() int {
-	i := s.intN(hostCount)
+	i := s.intN(len(s.cluster.hosts))
 	if s.intN(2) == 0 {
 		return i
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -56,13 +56,20 @@
 
 // Guards against promises that break when faults of processes, links, the
 // store and workers come in series and overlap. SOAK_SEEDS and SOAK_LENGTH set
-// how many fresh seeds run and for how long; SOAK_SEED plays one seed again.
+// how many fresh seeds run and for how long, SOAK_HOSTS how many hosts each has;
+// SOAK_SEED plays one seed again.
 // Without them the seeds that failed once and a few fixed ones run.
 func TestSoak(t *testing.T) {
 	program, err := buildHost(t.TempDir())
 	if err != nil {
 		t.Fatal(err)
 	}
+	hosts := usualHosts
+	if text := os.Getenv("SOAK_HOSTS"); text != "" {
+		if hosts, err = strconv.Atoi(text); err != nil {
+			t.Fatal(err)
+		}
+	}
 	length := ciLength
 	if text := os.Getenv("SOAK_LENGTH"); text != "" {
 		if length, err = time.ParseDuration(text); err != nil {
@@ -72,7 +79,7 @@
 	for _, seed := range chooseSeeds(t) {
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
 			t.Parallel()
-			play(t, program, seed, length)
+			play(t, program, seed, hosts, length)
 		})
 	}
 }
@@ -126,14 +133,14 @@
 	return seeds
 }
 
-func play(t *testing.T, program string, seed uint64, length time.Duration) {
+func play(t *testing.T, program string, seed uint64, hosts int, length time.Duration) {
 	dir, err := os.MkdirTemp("", "soak")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Logf("seed %d, logs in %s", seed, dir)
 	subnet := fmt.Sprintf("127.%d.%d", 100+os.Getpid()%100, subnets.Add(1))
-	c, err := newCluster(dir, program, subnet, seed)
+	c, err := newCluster(dir, program, subnet, seed, hosts)
 	defer c.close()
 	if err != nil {
 		t.Fatal(err)
