--- a/soak/client_test.go
+++ b/soak/client_test.go
@@ -166,7 +166,9 @@
 	return r.state, nil
 }
 
-func (c *client) rotate() { c.host = (c.host + 1 + c.random.IntN(len(c.cluster.hosts)-1)) % len(c.cluster.hosts) }
+func (c *client) rotate() {
+	c.host = (c.host + 1 + c.random.IntN(len(c.cluster.hosts)-1)) % len(c.cluster.hosts)
+}
 
 // call makes one call to the client's host.
 func (c *client) call(method string, j *standin.Job) (reply, error) {
--- a/yard/place.go
+++ b/yard/place.go
@@ -2,64 +2,36 @@
 
 import (
 	"slices"
-	"sort"
 	"time"
 
 	"chervilhollow/order"
-	"chervilhollow/tariff"
 )
 
-// turn is a step that has tasks to start, with its place in the queue.
-type turn struct {
-	step  *step
-	queue tariff.Queue
-	rank  rank
-	due   time.Time
-}
-
-// hopelessPause is how long a step that found no room and is of the last rank
-// is passed over, so that jobs that can never run hide no others.
-const hopelessPause = 250 * time.Millisecond
-
-// rank orders jobs before their priority: those that can still be complete in
-// time come first, since the others are worth less to their clients.
-type rank int
+const (
+	// hopelessPause is how long a step that found no room and is of the last
+	// rank is passed over, so that jobs that can never run hide no others.
+	hopelessPause = 250 * time.Millisecond
 
-// placeInterval bounds the rounds of placement to 125 a second; the tightest
-// objective leaves a few hundred milliseconds.
-const placeInterval = 8 * time.Millisecond
+	// placeInterval bounds the rounds of placement to 125 a second; the
+	// tightest objective leaves a few hundred milliseconds.
+	placeInterval = 8 * time.Millisecond
 
-// placeStep is added to the interval for each waiting step; sorting one takes
-// about a microsecond, so a long backlog takes a few percent of a core.
-const placeStep = 40 * time.Microsecond
+	// placeStep is added to the interval for each waiting step; sorting one
+	// takes about a microsecond, so a long backlog takes a few percent of a
+	// core.
+	placeStep = 40 * time.Microsecond
 
-// placeVain is how many steps may find no room or no host for their question
-// in a round; those behind them are less urgent, and a round over a long
-// backlog would take the owner's processor from everything else.
-const placeVain = 48
+	// placeVain is how many steps may find no room or no host for their
+	// question in a round; those behind them are less urgent, and a round over
+	// a long backlog would take the owner's processor from everything else.
+	placeVain = 48
 
-const (
 	// waitLogAfter and waitLogEvery bound the lines about steps that wait: none
 	// for those that start soon, one for each reason, then one every 5 s.
 	waitLogAfter = time.Second
 	waitLogEvery = 5 * time.Second
 )
 
-const (
-	rankInTime rank = iota
-	rankLate
-	rankHopeless
-
-	// lateFactor is how many times its objective a job may take and still be
-	// worth something, by the users' page.
-	lateFactor = 3
-)
-
-var rankNames = [...]string{rankInTime: "in_time", rankLate: "late", rankHopeless: "hopeless"}
-
-// String implements fmt.Stringer.
-func (r rank) String() string { return rankNames[r] }
-
 // place starts the tasks for which there is room, the most urgent steps first.
 func (m *Machine) place(now time.Time) {
 	m.expireAdvice(now)
@@ -112,87 +84,6 @@
 	return 0
 }
 
-// together returns how many tasks of the step have to start at once.
-func (s *step) together() int {
-	if s.spec.Gang() {
-		return len(s.tasks)
-	}
-	return 1
-}
-
-// turns returns the steps that wait, in order of rank, of priority, and of the
-// time by which the job should be complete.
-func (m *Machine) turns(now time.Time, settled bool) []turn {
-	var list []turn
-	for _, j := range m.active {
-		q, ok := m.config.Queue(j.queue)
-		if !ok || (j.epoch < m.epoch && !settled) {
-			continue
-		}
-		for _, s := range j.steps {
-			// An unstored job may still be refused, so it only gets advice.
-			advise := q.Advice().Needed() && s.allowed == nil
-			if s.waits(now) && (j.recorded || advise) {
-				list = append(list, newTurn(now, s, q))
-			}
-		}
-	}
-	sort.Slice(list, func(i, j int) bool { return list[i].before(list[j]) })
-	return list
-}
-
-func newTurn(now time.Time, s *step, q tariff.Queue) turn {
-	j := s.job
-	start := j.accepted
-	if d := s.due(); !d.IsZero() {
-		start = d
-	}
-	objective := q.Target() + time.Duration(q.Stretch()*float64(s.jobChain))
-	t := turn{step: s, queue: q, due: start.Add(objective)}
-	switch finish := now.Add(s.chain); {
-	case s.spec.Lasting():
-		// A task that lasts is restarted at once, however old its job is.
-	case j.excess || finish.After(start.Add(lateFactor*objective)):
-		t.rank = rankHopeless
-	case finish.After(t.due):
-		t.rank = rankLate
-	}
-	return t
-}
-
-func (t turn) before(u turn) bool {
-	switch {
-	case t.rank != u.rank:
-		return t.rank < u.rank
-	case t.queue.Priority() != u.queue.Priority():
-		return t.queue.Priority() < u.queue.Priority()
-	case !t.due.Equal(u.due):
-		return t.due.Before(u.due)
-	case t.step.job.id != u.step.job.id:
-		return t.step.job.id < u.step.job.id
-	case t.step.occurrence != u.step.occurrence:
-		return t.step.occurrence < u.step.occurrence
-	}
-	return t.step.index < u.step.index
-}
-
-// waits reports whether a task of the step may start now.
-func (s *step) waits(now time.Time) bool {
-	if s.done == len(s.tasks) || now.Before(s.due()) {
-		return false
-	}
-	waiting := 0
-	for _, t := range s.tasks {
-		if t.state == taskWaiting {
-			waiting++
-		}
-	}
-	if waiting == 0 || (s.spec.Gang() && waiting < len(s.tasks)) {
-		return false
-	}
-	return s.ready()
-}
-
 // usable reports whether the worker takes new tasks of the service.
 func (m *Machine) usable(now time.Time, w *worker, service string) bool {
 	return w.listed && w.recorded && w.reached && !w.draining && w.misses == 0 && w.unsized == 0 &&
@@ -333,42 +224,6 @@
 	return score
 }
 
-// placeGang starts all tasks of a step together, or none.
-func (m *Machine) placeGang(now time.Time, t turn, reserved map[order.WorkerID]bool) {
-	s := t.step
-	options := m.options(now, t)
-	chosen := m.arrange(s, t.ticketed(now, options), reserved)
-	if chosen == nil {
-		m.holdRoom(now, t, options, reserved)
-		return
-	}
-	run := 0
-	for _, task := range s.tasks {
-		run = max(run, m.nextRun(task))
-	}
-	for i, task := range s.tasks {
-		m.start(now, task, chosen[i], run)
-	}
-	m.logPlaced(now, t, len(chosen), len(options))
-}
-
-// holdRoom keeps the room that a gang is to have from the steps behind it, and
-// asks for the tickets that it lacks.
-func (m *Machine) holdRoom(now time.Time, t turn, options []*worker, reserved map[order.WorkerID]bool) {
-	chosen := m.arrange(t.step, options, reserved)
-	if chosen == nil {
-		m.waiting(now, t, "gang_room", len(options))
-		m.askMore(now, t)
-		chosen = options
-	} else {
-		m.waiting(now, t, "tickets", len(options))
-		m.renew(now, t, chosen, options)
-	}
-	for _, w := range chosen {
-		reserved[w.id] = true
-	}
-}
-
 // logPlaced writes one line for the tasks of a step that were started now.
 func (m *Machine) logPlaced(now time.Time, t turn, started, options int) {
 	if started == 0 {
@@ -398,50 +253,6 @@
 		Dur("until_due", t.due.Sub(now)).Msg("yard: waits")
 }
 
-// arrange returns a worker for each task of a gang, or nil if they do not fit.
-// A gang that is slow across racks is kept on one rack where that is possible.
-func (m *Machine) arrange(s *step, options []*worker, reserved map[order.WorkerID]bool) []*worker {
-	if s.spec.SameRack() {
-		racks := make(map[string][]*worker)
-		var names []string
-		for _, w := range options {
-			if racks[w.rack] == nil {
-				names = append(names, w.rack)
-			}
-			racks[w.rack] = append(racks[w.rack], w)
-		}
-		for _, name := range names {
-			if chosen := m.fill(s, racks[name], reserved); chosen != nil {
-				return chosen
-			}
-		}
-	}
-	return m.fill(s, options, reserved)
-}
-
-func (m *Machine) fill(s *step, options []*worker, reserved map[order.WorkerID]bool) []*worker {
-	sorted := slices.Clone(options)
-	sort.SliceStable(sorted, func(i, j int) bool { return m.score(sorted[i], s) > m.score(sorted[j], s) })
-	size := s.spec.Size()
-	var chosen []*worker
-	for _, w := range sorted {
-		if reserved[w.id] {
-			continue
-		}
-		used := w.used
-		n := s.onWorker(w)
-		for len(chosen) < len(s.tasks) && used.Plus(size).FitsIn(w.info.capacity) && (s.spec.PerWorker() == 0 || n < s.spec.PerWorker()) {
-			used = used.Plus(size)
-			n++
-			chosen = append(chosen, w)
-		}
-	}
-	if len(chosen) < len(s.tasks) {
-		return nil
-	}
-	return chosen
-}
-
 // ticketed returns the workers on which the step may start now.
 func (t turn) ticketed(now time.Time, options []*worker) []*worker {
 	if !t.queue.Advice().Needed() {
