Send a stop without an answer again soon too; rest workers that answer no start

Cause: as for starts, a stop that got no answer was sent again after 0.7 s or more, and its room stayed taken. A worker that left a start unanswered got further tasks until the call that waits for its ends failed, up to 2.7 s later for an idle one. Both orders share one loop now. TestGivesNothingToAWorkerThatAnswersNoStart failed first.

--- a/soak/fault_test.go
+++ b/soak/fault_test.go
@@ -31,7 +31,7 @@
 	{"a host is paused", false, (*soak).pauseHost},
 	{"the store refuses a host", false, (*soak).refuseHost},
 	{"the store refuses all", false, (*soak).refuseAll},
-	{"the store is slow and loses answers", false, (*soak).harmStore},
+	{"the store is slow and loses answers", false, (*soak).degradeStore},
 	{"the store drops its history", false, (*soak).dropHistory},
 	{"a host is cut off from the store", false, (*soak).cutStore},
 	{"a host is cut off from its peers", false, (*soak).cutPeers},
@@ -40,7 +40,7 @@
 	{"a worker crashes", false, (*soak).crashWorker},
 	{"a worker is cut off", false, (*soak).cutWorker},
 	{"workers answer late or not", false, (*soak).muteWorkers},
-	{"a worker fails all or stands still", false, (*soak).sickenWorker},
+	{"a worker fails all or stands still", false, (*soak).degradeWorker},
 }
 
 // ownerKey is the key of the record that names the owner of the cell.
@@ -169,7 +169,7 @@
 	return s.setStores(s.cluster.stores, standin.StoreFaults{Refuse: refusals[s.intN(len(refusals))]})
 }
 
-func (s *soak) harmStore() (func() error, error) {
+func (s *soak) degradeStore() (func() error, error) {
 	return s.setStores(s.cluster.stores, standin.StoreFaults{
 		Slow: time.Duration(s.intN(200)) * time.Millisecond, Lost: 0.3 * float64(s.intN(2)), Late: 0.2 * float64(s.intN(2)),
 	})
@@ -180,33 +180,33 @@
 	return nothing, nil
 }
 
-// harmLinks harms the proxies until the fault ends.
-func harmLinks(h harm, links ...*proxy) (func() error, error) {
+// impairLinks impairs the proxies until the fault ends.
+func impairLinks(h impairment, links ...*proxy) (func() error, error) {
 	for _, l := range links {
 		l.set(h)
 	}
 	return func() error {
 		for _, l := range links {
-			l.set(harm{})
+			l.set(impairment{})
 		}
 		return nil
 	}, nil
 }
 
 // cut draws a cut: both ways, either way, or refused connections.
-func (s *soak) cut() harm {
-	return []harm{{cutForth: true, cutBack: true}, {cutForth: true}, {cutBack: true}, {refuse: true}}[s.intN(4)]
+func (s *soak) cut() impairment {
+	return []impairment{{cutForth: true, cutBack: true}, {cutForth: true}, {cutBack: true}, {refuse: true}}[s.intN(4)]
 }
 
-func (s *soak) cutStore() (func() error, error) { return harmLinks(s.cut(), s.host().toStore) }
+func (s *soak) cutStore() (func() error, error) { return impairLinks(s.cut(), s.host().toStore) }
 
 func (s *soak) cutPeers() (func() error, error) {
 	h := s.host()
-	harm := s.cut()
-	if harm.refuse {
+	cut := s.cut()
+	if cut.refuse {
 		h.peers.reset()
 	}
-	return harmLinks(harm, h.peers)
+	return impairLinks(cut, h.peers)
 }
 
 func (s *soak) slowPeers() (func() error, error) {
@@ -214,7 +214,7 @@
 	for _, h := range s.cluster.hosts {
 		links = append(links, h.peers)
 	}
-	return harmLinks(harm{delay: time.Duration(5+s.intN(40)) * time.Millisecond}, links...)
+	return impairLinks(impairment{delay: time.Duration(5+s.intN(40)) * time.Millisecond}, links...)
 }
 
 func (s *soak) resetAll() (func() error, error) {
@@ -239,14 +239,14 @@
 	w := s.cluster.workers[i]
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.sick[w] {
+	if s.degraded[w] {
 		return -1, func() {}
 	}
-	s.sick[w] = true
+	s.degraded[w] = true
 	return i, func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		delete(s.sick, w)
+		delete(s.degraded, w)
 	}
 }
 
@@ -274,7 +274,7 @@
 }
 
 func (s *soak) cutWorker() (func() error, error) {
-	return harmLinks(s.cut(), s.cluster.links[s.intN(workerCount)])
+	return impairLinks(s.cut(), s.cluster.links[s.intN(workerCount)])
 }
 
 func (s *soak) setWorkers(f standin.WorkerFaults, workers ...*standin.Worker) (func() error, error) {
@@ -293,7 +293,7 @@
 	return s.setWorkers(standin.WorkerFaults{Lost: 0.1, Late: 0.1 * float64(s.intN(2))}, s.cluster.workers...)
 }
 
-func (s *soak) sickenWorker() (func() error, error) {
+func (s *soak) degradeWorker() (func() error, error) {
 	f := standin.WorkerFaults{Fails: true}
 	if s.intN(2) == 0 {
 		f = standin.WorkerFaults{Stands: true}
--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -7,21 +7,21 @@
 )
 
 type (
-	// proxy forwards connections on loopback and harms them as it is told.
+	// proxy forwards connections on loopback and impairs them as it is told.
 	proxy struct {
 		listener net.Listener
 		target   string
 		wg       sync.WaitGroup
 
 		mu     sync.Mutex
-		harm   harm
+		state  impairment
 		pairs  map[*pair]bool
 		healed chan struct{}
 	}
 
-	// harm is what happens to the bytes. Cut bytes wait until the cut ends,
+	// impairment is what happens to the bytes. Cut bytes wait until the cut ends,
 	// as a network sends them again.
-	harm struct {
+	impairment struct {
 		cutForth, cutBack bool
 		refuse            bool
 		delay             time.Duration
@@ -44,10 +44,10 @@
 func (p *proxy) address() string { return p.listener.Addr().String() }
 
 // set changes what happens to the bytes from now on.
-func (p *proxy) set(h harm) {
+func (p *proxy) set(h impairment) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.harm = h
+	p.state = h
 	close(p.healed)
 	p.healed = make(chan struct{})
 }
@@ -64,14 +64,14 @@
 func (p *proxy) close() {
 	p.listener.Close()
 	p.reset()
-	p.set(harm{refuse: true})
+	p.set(impairment{refuse: true})
 	p.wg.Wait()
 }
 
-func (p *proxy) current() (harm, <-chan struct{}) {
+func (p *proxy) current() (impairment, <-chan struct{}) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.harm, p.healed
+	return p.state, p.healed
 }
 
 func (p *proxy) accept() {
@@ -100,8 +100,8 @@
 	p.pairs[c] = true
 	p.mu.Unlock()
 	var both sync.WaitGroup
-	both.Go(func() { p.pass(client, server, func(h harm) bool { return h.cutForth }) })
-	both.Go(func() { p.pass(server, client, func(h harm) bool { return h.cutBack }) })
+	both.Go(func() { p.pass(client, server, func(h impairment) bool { return h.cutForth }) })
+	both.Go(func() { p.pass(server, client, func(h impairment) bool { return h.cutBack }) })
 	both.Wait()
 	p.mu.Lock()
 	delete(p.pairs, c)
@@ -111,7 +111,7 @@
 }
 
 // pass copies bytes one way until either end closes.
-func (p *proxy) pass(from, to net.Conn, cut func(harm) bool) {
+func (p *proxy) pass(from, to net.Conn, cut func(impairment) bool) {
 	buffer := make([]byte, 16<<10)
 	for {
 		n, err := from.Read(buffer)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -24,13 +24,13 @@
 	clients []*client
 	group   sync.WaitGroup
 
-	mu      sync.Mutex
-	random  *rand.Rand
-	busy    map[*entryHost]bool
-	sick    map[*standin.Worker]bool
-	version int
-	key     string
-	faults  []string
+	mu       sync.Mutex
+	random   *rand.Rand
+	busy     map[*entryHost]bool
+	degraded map[*standin.Worker]bool
+	version  int
+	key      string
+	faults   []string
 }
 
 const (
@@ -147,7 +147,7 @@
 	}
 	s := &soak{
 		t: t, cluster: c, random: rand.New(rand.NewPCG(seed, 1)), version: 1, key: "key-1",
-		busy: make(map[*entryHost]bool), sick: make(map[*standin.Worker]bool),
+		busy: make(map[*entryHost]bool), degraded: make(map[*standin.Worker]bool),
 	}
 	s.run(seed, length)
 	s.check()
--- a/yard/attempt.go
+++ b/yard/attempt.go
@@ -172,6 +172,8 @@
 		m.registry.Count("yard.start_failed.unclear")
 		m.log.Warn().Err(in.err).Str("job", string(a.ref.job)).Int("task", a.ref.index).Int("run", a.run).
 			Str("worker", string(a.worker.id)).Msg("yard: start has no answer")
+		// The worker gets nothing more until it reports again.
+		a.worker.mute = true
 		if a.state == attemptSent {
 			a.state, a.asked = attemptUnclear, now
 		}
--- a/yard/cell.go
+++ b/yard/cell.go
@@ -50,17 +50,17 @@
 	// tickInterval bounds how late a decision that only time causes is.
 	tickInterval = 20 * time.Millisecond
 
-	// orderTimeout is how long a stop or the last try of a start may take;
-	// answers from the farthest domain come within 10 ms.
+	// orderTimeout is how long the last try of an order may take; answers from
+	// the farthest domain come within 10 ms.
 	orderTimeout = 700 * time.Millisecond
 
-	// startTimeout is how long the earlier tries of a start may take. The
-	// tightest objective leaves 250 ms beside the work.
-	startTimeout = 200 * time.Millisecond
+	// repeatAfter is how long the earlier tries may take. The tightest
+	// objective leaves 250 ms beside the work.
+	repeatAfter = 200 * time.Millisecond
 
-	// startTries is how often a start is sent. With one order in twenty
-	// unanswered, one start in 8,000 stays unclear.
-	startTries = 3
+	// orderTries is how often an order is sent. With one in twenty unanswered,
+	// one in 8,000 stays unclear.
+	orderTries = 3
 )
 
 var (
@@ -201,28 +201,26 @@
 func (c *Cell) order(ctx context.Context, command Command) {
 	switch command := command.(type) {
 	case StartCmd:
-		clock, err := c.begin(ctx, command.order)
+		clock, err := repeat(ctx, func(ctx context.Context) (int64, error) { return c.worker.Start(ctx, command.order) })
 		c.input(ctx, StartedMsg{order: command.order, clock: clock, err: err})
 	case StopCmd:
-		limited, cancel := context.WithTimeout(ctx, orderTimeout)
-		defer cancel()
-		clock, err := c.worker.Stop(limited, command.order)
+		clock, err := repeat(ctx, func(ctx context.Context) (int64, error) { return c.worker.Stop(ctx, command.order) })
 		c.input(ctx, StoppedMsg{order: command.order, clock: clock, err: err})
 	}
 }
 
-// begin sends a start until it has an answer, at most startTries times: a
-// worker begins a run once, however often it is told to. A refusal that follows
-// a try without an answer proves nothing, since that try may still be carried
-// out.
-func (c *Cell) begin(ctx context.Context, o StartOrder) (int64, error) {
+// repeat sends an order until it has an answer, at most orderTries times: a
+// worker carries a start or a stop of a run out once, however often it is told
+// to. A refusal that follows a try without an answer proves nothing, since that
+// try may still be carried out.
+func repeat(ctx context.Context, send func(context.Context) (int64, error)) (int64, error) {
 	var unclear error
 	for try := 1; ; try++ {
-		timeout := startTimeout
-		if try == startTries {
+		timeout := repeatAfter
+		if try == orderTries {
 			timeout = orderTimeout
 		}
-		clock, err := c.tryStart(ctx, o, timeout)
+		clock, err := within(ctx, timeout, send)
 		if err == nil {
 			return clock, nil
 		}
@@ -233,16 +231,16 @@
 			}
 			unclear = err
 		}
-		if try == startTries || ctx.Err() != nil {
+		if try == orderTries || ctx.Err() != nil {
 			return clock, unclear
 		}
 	}
 }
 
-func (c *Cell) tryStart(ctx context.Context, o StartOrder, timeout time.Duration) (int64, error) {
+func within(ctx context.Context, timeout time.Duration, send func(context.Context) (int64, error)) (int64, error) {
 	limited, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	return c.worker.Start(limited, o)
+	return send(limited)
 }
 
 func (c *Cell) hold(ctx context.Context, o HoldOrder) {
--- a/yard/cell_test.go
+++ b/yard/cell_test.go
@@ -51,16 +51,15 @@
 	is.Equal(in.(CommittedMsg).version, held.Version())
 }
 
-// muteWorker leaves the first starts unanswered and answers the later ones with
+// muteWorker leaves the first orders unanswered and answers the later ones with
 // the error.
 type muteWorker struct {
-	Worker
 	mute  int
 	later error
 	calls int
 }
 
-func (w *muteWorker) Start(ctx context.Context, _ StartOrder) (int64, error) {
+func (w *muteWorker) send(ctx context.Context) (int64, error) {
 	w.calls++
 	if w.calls <= w.mute {
 		<-ctx.Done()
@@ -72,29 +71,27 @@
 // Guards against a task that waits a second because the answer to its start is
 // lost or the order is late: the same order again is answered, and begins the
 // run if the first did not.
-func TestRepeatsAStartSoon(t *testing.T) {
+func TestRepeatsAnOrderSoon(t *testing.T) {
 	is := is.New(t)
 	w := &muteWorker{mute: 1}
-	c := NewCell(nil, tide.New(), nil, w, nil, zerolog.Nop())
 	began := time.Now()
-	clock, err := c.begin(context.Background(), StartOrder{})
+	clock, err := repeat(context.Background(), w.send)
 	is.NoErr(err)
 	is.Equal(clock, int64(7))
-	is.True(time.Since(began) < 250*time.Millisecond+startTimeout) // the tightest objective leaves 250 ms
+	is.True(time.Since(began) < 250*time.Millisecond+repeatAfter) // the tightest objective leaves 250 ms
 }
 
 // Guards against a run that is taken for refused while its first order may
 // still be carried out.
-func TestRefusalAfterAnUnclearStartProvesNothing(t *testing.T) {
+func TestRefusalAfterAnUnclearOrderProvesNothing(t *testing.T) {
 	is := is.New(t)
 	for _, later := range []error{NewRefusal(RefusedRoom, 0), ErrNotSent} {
 		w := &muteWorker{mute: 1, later: later}
-		c := NewCell(nil, tide.New(), nil, w, nil, zerolog.Nop())
-		_, err := c.begin(context.Background(), StartOrder{})
+		_, err := repeat(context.Background(), w.send)
 		is.True(errors.Is(err, context.DeadlineExceeded))
 	}
 	w := &muteWorker{later: NewRefusal(RefusedRoom, 0)}
-	_, err := NewCell(nil, tide.New(), nil, w, nil, zerolog.Nop()).begin(context.Background(), StartOrder{})
+	_, err := repeat(context.Background(), w.send)
 	var refused *RefusedError
 	is.True(errors.As(err, &refused))
 	is.Equal(w.calls, 1)
--- a/yard/machine_test.go
+++ b/yard/machine_test.go
@@ -1,6 +1,7 @@
 package yard
 
 import (
+	"errors"
 	"fmt"
 	"testing"
 	"time"
@@ -73,6 +74,28 @@
 	d.is.True(ok)
 }
 
+// Guards against further tasks for a worker that answers no order, until the
+// call that waits for its ends has failed too.
+func TestGivesNothingToAWorkerThatAnswersNoStart(t *testing.T) {
+	d := newDrive(t, testEpoch)
+	d.configure(tariff.Advice{}, order.Resources{})
+	d.list("w1")
+	d.submit(1, smallStep(1))
+	d.commit()
+	s, ok := d.takeStart()
+	d.is.True(ok)
+	d.wait(2 * holdPause) // the next call to the worker is open
+	d.started(s, errors.New("no answer"))
+	d.submit(2, smallStep(1))
+	d.commit()
+	_, ok = d.takeStart()
+	d.is.True(!ok)
+	d.held("w1", []RunningTask{NewRunning(s.order.task, s.order.run, "", 10)}, nil)
+	d.wait(100 * time.Millisecond)
+	_, ok = d.takeStart()
+	d.is.True(ok) // it reports again
+}
+
 // Guards against a gang that asks for tickets again and again because the
 // workers that fit best have none, while others have room and valid tickets.
 func TestStartsAGangWhereTicketsAreValid(t *testing.T) {
--- a/yard/place.go
+++ b/yard/place.go
@@ -86,7 +86,7 @@
 
 // usable reports whether the worker takes new tasks of the service.
 func (m *Machine) usable(now time.Time, w *worker, service string) bool {
-	return w.listed && w.recorded && w.reached && !w.draining && w.misses == 0 && w.unsized == 0 &&
+	return w.listed && w.recorded && w.reached && !w.draining && w.misses == 0 && !w.mute && w.unsized == 0 &&
 		w.info.service == service && !m.withdrawn[w.info.domain] && !now.Before(w.coolUntil)
 }
 
--- a/yard/worker.go
+++ b/yard/worker.go
@@ -45,6 +45,10 @@
 		holdNext time.Time
 		misses   int
 
+		// mute reports whether a start has had no answer since the worker's
+		// last report.
+		mute bool
+
 		// ends are the listed ends that are not acknowledged yet.
 		ends     []endMark
 		lastEnd  int64
@@ -175,7 +179,7 @@
 	m.dropAttempts(now, w, "worker started anew")
 	w.ends, w.lastEnd, w.acked = nil, 0, 0
 	w.clockAt, w.reached, w.failures = time.Time{}, false, 0
-	w.misses, w.coolUntil = 0, time.Time{}
+	w.misses, w.mute, w.coolUntil = 0, false, time.Time{}
 }
 
 // dropAttempts ends all runs of the worker as lost.
@@ -280,7 +284,7 @@
 		m.log.Info().Str("worker", string(w.id)).Int("running", len(in.report.running)).
 			Int("ended", len(in.report.ended)).Msg("yard: worker reached")
 	}
-	w.misses, w.refused = 0, false
+	w.misses, w.refused, w.mute = 0, false, false
 	w.reached, w.answered = true, now
 	w.readClock(now, in.report.clock)
 	m.takeEnds(now, w, in.report.ended)
