--- a/yard/drive_test.go
+++ b/yard/drive_test.go
@@ -161,6 +161,20 @@
 		WithPath("/proofs/"+string(jobID(number))).WithKey(testKey).WithSpec(order.JobSpec{}.WithSteps(steps))))
 }
 
+// changeMany stores jobs and then notes a change of each.
+func (d *drive) changeMany(count int) {
+	for i := range count {
+		d.submit(i, smallStep(2))
+		if i%10 == 0 {
+			d.commit()
+		}
+	}
+	d.commit()
+	for _, j := range d.m.active {
+		d.m.touch(j)
+	}
+}
+
 func jobID(number int) order.JobID { return order.JobID(fmt.Sprintf("%016x", number+1)) }
 
 func (d *drive) call(verb order.JobVerb, steps ...order.JobStep) {
--- a/yard/machine_test.go
+++ b/yard/machine_test.go
@@ -227,16 +227,7 @@
 	d := newDrive(t, testEpoch)
 	d.configure(tariff.Advice{}, order.Resources{})
 	d.list("w1")
-	for i := range 4 * batchJobs {
-		d.submit(i, smallStep(2))
-		if i%10 == 0 {
-			d.commit()
-		}
-	}
-	d.commit()
-	for _, j := range d.m.active {
-		d.m.touch(j)
-	}
+	d.changeMany(4 * batchJobs)
 	d.m.Step(d.now, NewCallMsg("client", order.JobCallMsg{}.WithVerb(order.SubmitJob).WithHost(testHost).
 		WithPath("/proofs/"+testJob).WithKey(testKey).WithSpec(order.JobSpec{}.WithSteps([]order.JobStep{smallStep(1)}))))
 	d.wait(2 * flushInterval)
@@ -251,16 +242,7 @@
 	d := newDrive(t, testEpoch)
 	d.configure(tariff.Advice{}, order.Resources{})
 	d.list("w1")
-	for i := range 8 * batchJobs {
-		d.submit(i, smallStep(2))
-		if i%10 == 0 {
-			d.commit()
-		}
-	}
-	d.commit()
-	for _, j := range d.m.active {
-		d.m.touch(j)
-	}
+	d.changeMany(8 * batchJobs)
 	n := 0
 	for range 8 {
 		d.now = d.now.Add(5 * time.Millisecond) // 200 a second, half of the store's rate
