--- a/yard/journal.go
+++ b/yard/journal.go
@@ -86,7 +86,7 @@
 	}
 }
 
-// flush sends the changes that wait, in the order in which they came.
+// flush sends the changes that wait, as far as the store may be asked.
 func (m *Machine) flush(now time.Time) {
 	for len(m.journal.flights) < maxFlights && now.Sub(m.journal.flushed) >= m.flushAfter() {
 		batch, f := m.pack()
