Drop the keeper's draining of messages before a step

A handed-over partition waits for its state since the later change, whichever of record and message is handled first; draining the inbox before each step was a special case of that. The two handover tests share their setup; what they assert is the same.

--- a/harbour/keeper.go
+++ b/harbour/keeper.go
@@ -340,7 +340,6 @@
 			k.receive(k.clock.Now(), in)
 		case s := <-k.steps:
 			k.protocol.setRevision(k.state.Revision())
-			k.receiveAll()
 			s(k.clock.Now())
 		case events <- next:
 			k.backlog = k.backlog[1:]
@@ -385,14 +384,6 @@
 	return k.hosts == nil || k.hosts.Age() > hostListMaxAge || k.hosts.Shows(address)
 }
 
-// receiveAll handles the messages that came before a step: the state of a
-// partition is sent before the record that hands it over is written.
-func (k *Keeper) receiveAll() {
-	for range len(k.inbox) {
-		k.receive(k.clock.Now(), <-k.inbox)
-	}
-}
-
 func (k *Keeper) receive(now time.Time, in inbound) {
 	switch m := in.msg.(type) {
 	case order.HeartbeatMsg:
--- a/harbour/keeper_test.go
+++ b/harbour/keeper_test.go
@@ -242,6 +242,16 @@
 	return all
 }
 
+// startLeaver starts three placers and returns one that is about to hand over
+// what it owns, and the others.
+func startLeaver(t *testing.T) (leaver *node, rest []*node, owned []order.PartitionID) {
+	t.Helper()
+	nodes := startAll(t, depot.NewMemory(tide.New()), 3, ids(16))
+	owned = nodes[0].owned(ids(16))
+	is.New(t).True(len(owned) > 0)
+	return nodes[0], nodes[1:], owned
+}
+
 func actors(nodes []*node, id order.PartitionID) []*node {
 	var found []*node
 	for _, v := range nodes {
@@ -320,11 +330,7 @@
 func TestKeeperHandsOver(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
-	store := depot.NewMemory(tide.New())
-	nodes := startAll(t, store, 3, ids(16))
-	leaver, rest := nodes[0], nodes[1:]
-	owned := leaver.owned(ids(16))
-	is.True(len(owned) > 0)
+	leaver, rest, owned := startLeaver(t)
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
 	began := time.Now()
@@ -346,11 +352,7 @@
 func TestKeeperHandsOverToBusyProcess(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
-	store := depot.NewMemory(tide.New())
-	nodes := startAll(t, store, 3, ids(16))
-	leaver, rest := nodes[0], nodes[1:]
-	owned := leaver.owned(ids(16))
-	is.True(len(owned) > 0)
+	leaver, rest, owned := startLeaver(t)
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
 	// The event loop of a keeper asks for the revision before each message.
