Check a step's tickets in one place

Placing tasks one by one looked at each worker's ticket for each task, behind a flag of choose; gangs had the same check in ticketed. Both use ticketed now, once a step and round, and choose has no flag. The same decisions: the tests of yard pass unchanged.

--- a/yard/place.go
+++ b/yard/place.go
@@ -145,6 +145,7 @@
 func (m *Machine) placeTasks(now time.Time, t turn, reserved map[order.WorkerID]bool) {
 	options := m.options(now, t)
 	size := t.step.spec.Size()
+	ready := t.ticketed(now, options)
 	stale, started := false, 0
 	defer func() { m.logPlaced(now, t, started, len(options)) }()
 	for _, task := range t.step.tasks {
@@ -155,9 +156,9 @@
 			m.waiting(now, t, "team_limit", len(options))
 			return
 		}
-		w := m.choose(now, t, task, options, reserved, true)
+		w := m.choose(t, task, ready, reserved)
 		if w == nil {
-			stale = m.choose(now, t, task, options, reserved, false) != nil
+			stale = m.choose(t, task, options, reserved) != nil
 			break
 		}
 		m.start(now, task, w, m.nextRun(task))
@@ -183,7 +184,7 @@
 
 // choose returns the worker for a task: one where it has not failed, near its
 // data, and with the least room left over.
-func (m *Machine) choose(now time.Time, t turn, task *task, options []*worker, reserved map[order.WorkerID]bool, valid bool) *worker {
+func (m *Machine) choose(t turn, task *task, options []*worker, reserved map[order.WorkerID]bool) *worker {
 	var best *worker
 	var bestScore float64
 	size := t.step.spec.Size()
@@ -191,9 +192,6 @@
 		if reserved[w.id] || !w.used.Plus(size).FitsIn(w.info.capacity) {
 			continue
 		}
-		if valid && t.queue.Advice().Needed() && !t.step.allowed[w.id].until.After(now) {
-			continue
-		}
 		if per := t.step.spec.PerWorker(); per > 0 && t.step.onWorker(w) >= per {
 			continue
 		}
