Drop lists of operators' documents that the watch has overtaken

Cause: a new owner lists the operators' documents while the watch of them goes on. If the list was answered late, it replaced what the watch had delivered since, and a withdrawn API key, a dropped route or an evacuated failure domain was in use again until the next change.

storage.Mirror keeps the entries below a prefix as of the newest answer: an older list changes nothing, and events that a newer list includes are skipped.

--- a/entryhost/cell.go
+++ b/entryhost/cell.go
@@ -133,11 +133,12 @@
 			workers, err = h.deps.store.Get(ctx, scheduler.WorkersKey)
 		}
 		var operator []storage.Entry
+		var version storage.Version
 		if err == nil {
-			operator, _, err = h.deps.store.List(ctx, h.deps.decoder.OperatorPrefix())
+			operator, version, err = h.deps.store.List(ctx, h.deps.decoder.OperatorPrefix())
 		}
 		if err == nil {
-			h.replaceOperatorDocs(operator)
+			h.replaceOperatorDocs(operator, version)
 			if err := m.Restore(jobs); err != nil {
 				return fmt.Errorf("recover: %w", err)
 			}
@@ -152,17 +153,6 @@
 	return ctx.Err()
 }
 
-// replaceOperatorDocs replaces all operators' documents and decodes them.
-func (h *Host) replaceOperatorDocs(entries []storage.Entry) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	clear(h.operatorDocs)
-	for _, e := range entries {
-		h.operatorDocs[e.Key()] = e
-	}
-	h.decodeOperatorDocs()
-}
-
 // applyWorkerChange passes a change of the workers' entries to the cell. An
 // entry that cannot be decoded counts as removed.
 func (h *Host) applyWorkerChange(runner *scheduler.Runner, c storage.Change) {
--- a/entryhost/host.go
+++ b/entryhost/host.go
@@ -86,7 +86,7 @@
 		// stopping is set once SIGTERM or SIGINT has arrived.
 		stopping     atomic.Bool
 		mu           sync.Mutex
-		operatorDocs map[string]storage.Entry
+		operatorDocs *storage.Mirror
 		config       *policy.Config
 		withdrawn    []order.DomainName
 		links        map[order.MemberID]bool
@@ -178,7 +178,7 @@
 		self: order.NewMemberID(address), domain: domain, deps: deps, limits: limits,
 		clock: clock, registry: registry, log: log,
 		stop:         make(chan struct{}),
-		operatorDocs: make(map[string]storage.Entry),
+		operatorDocs: storage.NewMirror(),
 		links:        make(map[order.MemberID]bool),
 		storeReports: make(map[order.MemberID]storeReport),
 	}
--- a/entryhost/operator.go
+++ b/entryhost/operator.go
@@ -20,20 +20,26 @@
 		h.log.Debug().Err(c.Err()).Msg("pier: operators' documents not read")
 		return
 	}
-	h.mu.Lock()
-	defer h.mu.Unlock()
 	if c.IsSnapshot() {
-		clear(h.operatorDocs)
-	}
-	for _, e := range c.Entries() {
-		h.operatorDocs[e.Key()] = e
+		h.replaceOperatorDocs(c.Entries(), c.Version())
+		return
 	}
-	for _, e := range c.Events() {
-		if e.Deleted() {
-			delete(h.operatorDocs, e.Entry().Key())
-			continue
-		}
-		h.operatorDocs[e.Entry().Key()] = e.Entry()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.operatorDocs.Apply(c.Events(), c.Version())
+	h.decodeOperatorDocs()
+}
+
+// replaceOperatorDocs replaces all operators' documents by a list of the store
+// and decodes them. A list that the watch has overtaken is dropped, as it may
+// contain a key or a route that has been removed since.
+func (h *Host) replaceOperatorDocs(entries []storage.Entry, version storage.Version) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.operatorDocs.Replace(entries, version) {
+		h.registry.Count("pier.operator_list_older")
+		h.log.Info().Uint64("version", uint64(version)).Msg("pier: list of operators' documents dropped, a newer version is known")
+		return
 	}
 	h.decodeOperatorDocs()
 }
@@ -42,11 +48,7 @@
 // the cell, if this host runs it. A configuration that cannot be decoded leaves
 // the previous one in force. The lock must be held.
 func (h *Host) decodeOperatorDocs() {
-	entries := make([]storage.Entry, 0, len(h.operatorDocs))
-	for _, e := range h.operatorDocs {
-		entries = append(entries, e)
-	}
-	config, withdrawn, err := h.deps.decoder.DecodeOperator(entries)
+	config, withdrawn, err := h.deps.decoder.DecodeOperator(h.operatorDocs.Entries())
 	if err != nil {
 		h.registry.Count("pier.operator_unreadable")
 		h.log.Error().Err(err).Msg("pier: operator's document not decoded")
--- a/storage/follower.go
+++ b/storage/follower.go
@@ -62,6 +62,9 @@
 // of earlier changes.
 func (c Change) IsSnapshot() bool { return c.snapshot }
 
+// Version returns the version of the store that the answer has reached.
+func (c Change) Version() Version { return c.version }
+
 // RequestedAt returns when the call was sent. The content is at least as new.
 func (c Change) RequestedAt() time.Time { return c.requestedAt }
 
