Request placement advice by need, on several hosts at once

Cause: a step had one request in flight that named about 30 to 70 workers, whatever its width. A gang of 40 tasks with 30% of the workers allowed had to find room on some 20 of them, and waited for tickets and room (p95 of the first start of batch jobs 21 s).

A step now asks about as many workers as its waiting tasks need, by the room expected on them and the share that the queue's earlier responses allowed. Requests of a host that is lost go to others at once.

--- a/scheduler/advice.go
+++ b/scheduler/advice.go
@@ -1,7 +1,6 @@
 package scheduler
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -71,49 +70,62 @@
 		}
 		return
 	}
-	if in.host != m.self {
-		delete(m.hosts, in.host)
+	if in.host == m.self {
+		return
+	}
+	delete(m.hosts, in.host)
+	for call, req := range m.adviceRequests {
+		if req.host == in.host {
+			m.closeRequest(call, req)
+			m.registry.Count("yard.advice_host_lost")
+		}
 	}
 }
 
-// adviceHost returns the host that may send a request for this many workers
-// now. It returns false while the step has a request in flight or waits for a
-// retry, and while the hosts are busy.
-func (m *Scheduler) adviceHost(now time.Time, s *step, q policy.Queue, workers int) (order.MemberID, bool) {
-	if s.adviceCall != 0 || now.Before(s.adviceRetryAt) || workers == 0 {
-		return "", false
-	}
+// isLong reports whether the service takes long for a request about so many
+// workers.
+func isLong(q policy.Queue, workers int) bool { return q.Advice().Duration(workers) > shortRequestTime }
+
+// adviceHostFree reports whether a host may send a request about so many
+// workers now.
+func (m *Scheduler) adviceHostFree(now time.Time, q policy.Queue, workers int) bool {
 	name := m.leastBusyHost(now)
-	long := q.Advice().Duration(workers) > shortRequestTime
-	if m.hosts[name].busyUntil.Sub(now) > maxAdviceBacklog || (long && m.busyHosts(now) >= m.maxBusyHosts()) {
+	if m.hosts[name].busyUntil.Sub(now) > maxAdviceBacklog || (isLong(q, workers) && m.busyHosts(now) >= m.maxBusyHosts()) {
 		m.registry.Count("yard.waits.advice")
-		return "", false
+		return false
 	}
-	return name, true
+	return true
 }
 
 // requestAdvice has an entry host request from the advice service which of the
-// workers may run the step.
-func (m *Scheduler) requestAdvice(now time.Time, s *step, q policy.Queue, workers []order.WorkerID) {
-	name, ok := m.adviceHost(now, s, q, len(workers))
-	if !ok {
-		return
+// workers may run the step. It returns false if no host is free.
+func (m *Scheduler) requestAdvice(now time.Time, s *step, q policy.Queue, workers []order.WorkerID) bool {
+	if !m.adviceHostFree(now, q, len(workers)) {
+		return false
 	}
+	name := m.leastBusyHost(now)
 	h := m.hosts[name]
 	h.busyUntil = timers.Later(h.busyUntil, now).Add(q.Advice().Duration(len(workers)))
 	m.lastAdviceCall++
-	s.adviceCall = m.lastAdviceCall
 	m.adviceRequests[m.lastAdviceCall] = &adviceRequest{step: s, workers: workers, host: name, sentAt: now, expiresAt: h.busyUntil.Add(adviceTimeout)}
+	if s.openRequests == nil {
+		s.openRequests = make(map[order.WorkerID]bool)
+		s.requestedWorkers = make(map[order.WorkerID]bool)
+	}
+	for _, id := range workers {
+		s.openRequests[id] = true
+	}
 	m.registry.Count("yard.advice_asked")
 	m.emit(SendCmd{to: name, msg: order.AdviceRequestMsg{}.WithCall(m.lastAdviceCall).WithJob(s.job.id).
 		WithOccurrence(s.occurrence).WithStep(s.index).WithWorkers(workers)})
+	return true
 }
 
-// requestNewAdvice requests advice on workers that the step has no advice on
-// yet. It selects them only if a host is free, because that scans all workers.
-func (m *Scheduler) requestNewAdvice(now time.Time, s *step, q policy.Queue) {
-	if _, ok := m.adviceHost(now, s, q, 1); ok {
-		m.requestAdvice(now, s, q, m.candidates(now, s, q))
+// closeRequest removes a request that was answered or has failed.
+func (m *Scheduler) closeRequest(call uint64, req *adviceRequest) {
+	delete(m.adviceRequests, call)
+	for _, id := range req.workers {
+		delete(req.step.openRequests, id)
 	}
 }
 
@@ -154,15 +166,12 @@
 	if !ok {
 		return
 	}
-	delete(m.adviceRequests, r.Call())
+	m.closeRequest(r.Call(), req)
 	s := req.step
-	if s.adviceCall == r.Call() {
-		s.adviceCall = 0
-	}
 	if !r.Ok() {
 		m.registry.Count("yard.advice_failed")
 		m.log.Warn().Str("job", string(s.job.id)).Str("host", string(req.host)).Str("reason", r.Text()).Msg("yard: advice request failed")
-		s.adviceRetryAt = now.Add(adviceRetryDelay)
+		s.advisePlanAt = now.Add(adviceRetryDelay)
 		return
 	}
 	queue, ok := m.config.Queue(s.job.queue)
@@ -171,18 +180,26 @@
 	}
 	if s.tickets == nil {
 		s.tickets = make(map[order.WorkerID]ticket)
-		s.requestedWorkers = make(map[order.WorkerID]bool)
-	}
-	for _, id := range req.workers {
-		s.requestedWorkers[id] = true
 	}
 	until := now.Add(queue.Advice().Validity() - ticketMargin)
+	granted := 0
 	for _, t := range r.Tickets() {
+		if !s.requestedWorkers[t.Worker()] {
+			granted++
+		}
 		if !slices.Contains(s.ticketedWorkers, t.Worker()) {
 			s.ticketedWorkers = append(s.ticketedWorkers, t.Worker())
 		}
 		s.tickets[t.Worker()] = ticket{text: t.Ticket(), validUntil: until}
 	}
+	named := 0
+	for _, id := range req.workers {
+		if !s.requestedWorkers[id] {
+			named++
+		}
+		s.requestedWorkers[id] = true
+	}
+	m.grants(s.job.queue).record(named, granted)
 	m.registry.Observe("yard.advice", now.Sub(req.sentAt))
 }
 
@@ -193,10 +210,7 @@
 		if now.Before(req.expiresAt) {
 			continue
 		}
-		delete(m.adviceRequests, call)
-		if req.step.adviceCall == call {
-			req.step.adviceCall = 0
-		}
+		m.closeRequest(call, req)
 		if h := m.hosts[req.host]; h != nil {
 			h.busyUntil = timers.Later(h.busyUntil, now.Add(time.Second))
 		}
@@ -205,29 +219,6 @@
 	}
 }
 
-// candidates returns the workers to name in the next request of a step: those
-// that it has requested no advice on, the ones with the most free capacity
-// first, up to the size of a request.
-func (m *Scheduler) candidates(now time.Time, s *step, q policy.Queue) []order.WorkerID {
-	type candidate struct {
-		id   order.WorkerID
-		free float64
-	}
-	list := make([]candidate, 0, len(m.workers))
-	for _, w := range m.sortedWorkers() {
-		if !s.requestedWorkers[w.id] && m.schedulable(now, w, q.Service()) && m.feasible(w, s) {
-			list = append(list, candidate{id: w.id, free: w.freeFraction()})
-		}
-	}
-	slices.SortStableFunc(list, func(a, b candidate) int { return cmp.Compare(b.free, a.free) })
-	list = list[:min(len(list), m.maxWorkersPerRequest(q))]
-	ids := make([]order.WorkerID, 0, len(list))
-	for _, c := range list {
-		ids = append(ids, c.id)
-	}
-	return ids
-}
-
 // maxWorkersPerRequest returns how many workers a request of the queue may
 // name, between minAdviceWorkers and maxAdviceWorkers.
 func (m *Scheduler) maxWorkersPerRequest(q policy.Queue) int {
--- a/scheduler/gang.go
+++ b/scheduler/gang.go
@@ -39,7 +39,7 @@
 		chosen = feasible
 	} else {
 		m.recordWait(now, p, "tickets", len(feasible))
-		m.renewTickets(now, p, chosen, feasible)
+		m.requestMoreAdvice(now, p)
 	}
 	for _, w := range chosen {
 		reserved[w.id] = true
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -83,13 +83,14 @@
 		// tickets holds the ticket of each worker that may run the step; it is
 		// nil until the first advice. ticketedWorkers are all workers that ever
 		// got a ticket, in the order of the responses. requestedWorkers are
-		// those that a request has named. adviceCall is the request in flight, or
-		// zero.
+		// those that the service has given advice on, and openRequests those
+		// that a request in flight names. New requests are considered from
+		// advisePlanAt on.
 		tickets          map[order.WorkerID]ticket
 		ticketedWorkers  []order.WorkerID
 		requestedWorkers map[order.WorkerID]bool
-		adviceCall       uint64
-		adviceRetryAt    time.Time
+		openRequests     map[order.WorkerID]bool
+		advisePlanAt     time.Time
 	}
 
 	// ticket permits the step to run on a worker. It comes from the advice
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -56,7 +56,9 @@
 			continue
 		}
 		if p.queue.Advice().Needed() && p.step.tickets == nil {
-			unplaced += m.requestFirstAdvice(now, p)
+			if !m.advise(now, p) {
+				unplaced++
+			}
 			continue
 		}
 		if !m.withinTeamLimit(p.step.job.team, p.step.spec.Size(), p.step.tasksAtOnce()) {
@@ -75,19 +77,6 @@
 	}
 }
 
-// requestFirstAdvice sends the first advice request of a step. It returns one
-// if no host was free to send it, and else zero.
-func (m *Scheduler) requestFirstAdvice(now time.Time, p pendingStep) int {
-	if p.step.adviceCall != 0 || now.Before(p.step.adviceRetryAt) {
-		return 0
-	}
-	m.requestNewAdvice(now, p.step, p.queue)
-	if p.step.adviceCall == 0 {
-		return 1
-	}
-	return 0
-}
-
 // schedulable reports whether the worker may get new tasks of the service.
 func (m *Scheduler) schedulable(now time.Time, w *worker, service string) bool {
 	return w.listed && w.persisted && w.contacted && !w.draining && w.missedCalls == 0 && !w.unresponsive && w.unknownSizes == 0 &&
@@ -176,18 +165,18 @@
 	switch {
 	case ticketless:
 		m.recordWait(now, p, "tickets", len(feasible))
-		m.renewTickets(now, p, nil, feasible)
+		m.requestMoreAdvice(now, p)
 	case p.step.startable(now):
 		m.recordWait(now, p, "room", len(feasible))
 		m.requestMoreAdvice(now, p)
 	}
 }
 
-// requestMoreAdvice requests advice on further workers for a step that found no
-// capacity on those it may use.
+// requestMoreAdvice requests advice for a step that found no capacity on the
+// workers for which it has tickets.
 func (m *Scheduler) requestMoreAdvice(now time.Time, p pendingStep) {
 	if p.queue.Advice().Needed() {
-		m.requestNewAdvice(now, p.step, p.queue)
+		m.advise(now, p)
 	}
 }
 
@@ -257,7 +246,7 @@
 	}
 	s.waitReason, s.waitLoggedAt = reason, now
 	m.log.Info().Str("job", string(s.job.id)).Int("occurrence", s.occurrence).Int("step", s.index).Str("reason", reason).
-		Int("options", feasible).Int("asked", len(s.requestedWorkers)).Bool("asking", s.adviceCall != 0).Stringer("rank", p.rank).
+		Int("options", feasible).Int("asked", len(s.requestedWorkers)).Bool("asking", len(s.openRequests) > 0).Stringer("rank", p.rank).
 		Dur("until_due", p.due.Sub(now)).Msg("yard: waits")
 }
 
@@ -274,32 +263,3 @@
 	}
 	return list
 }
-
-// renewTickets requests new tickets for workers that the step may use.
-func (m *Scheduler) renewTickets(now time.Time, p pendingStep, chosen, feasible []*worker) {
-	if _, ok := m.adviceHost(now, p.step, p.queue, 1); ok {
-		m.requestAdvice(now, p.step, p.queue, m.workersToRenew(p, chosen, feasible))
-	}
-}
-
-// workersToRenew returns the workers to name in a request for new tickets: the
-// chosen ones whose tickets expire first, then others of the feasible ones up
-// to the size of a request.
-func (m *Scheduler) workersToRenew(p pendingStep, chosen, feasible []*worker) []order.WorkerID {
-	expiring := slices.Compact(slices.Clone(chosen))
-	slices.SortStableFunc(expiring, func(a, b *worker) int {
-		return p.step.tickets[a.id].validUntil.Compare(p.step.tickets[b.id].validUntil)
-	})
-	expiring = expiring[:min(len(expiring), maxAdviceWorkers)]
-	limit := max(len(expiring), m.maxWorkersPerRequest(p.queue))
-	list := make([]order.WorkerID, 0, limit)
-	for _, w := range expiring {
-		list = append(list, w.id)
-	}
-	for _, w := range feasible {
-		if len(list) < limit && !slices.Contains(list, w.id) {
-			list = append(list, w.id)
-		}
-	}
-	return list
-}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -41,6 +41,7 @@
 		hosts          map[order.MemberID]*host
 		adviceRequests map[uint64]*adviceRequest
 		lastAdviceCall uint64
+		grantShares    map[order.QueueName]*grantShare
 		shareBuckets   map[order.TeamName]*tokenBucket
 
 		journal   journal
@@ -242,6 +243,7 @@
 		usage:          make(map[order.TeamName]order.Resources),
 		hosts:          map[order.MemberID]*host{self: {}},
 		adviceRequests: make(map[uint64]*adviceRequest),
+		grantShares:    make(map[order.QueueName]*grantShare),
 		shareBuckets:   make(map[order.TeamName]*tokenBucket),
 		startedAt:      now,
 	}
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"fmt"
 	"testing"
 	"time"
 
@@ -475,24 +474,6 @@
 	t.Fatal("the task did not start again")
 }
 
-// On a large cell a step may have more workers than a request may name; the
-// advice service refuses a larger request.
-func TestBoundsWorkersPerAdviceRequest(t *testing.T) {
-	d := newDriver(t, testEpoch)
-	q := policy.NewQueue(testQueue, testHost, "/proofs/", "press").WithAdvice(testAdvice)
-	s := &step{tickets: make(map[order.WorkerID]ticket)}
-	var options []*worker
-	for i := range 3 * maxAdviceWorkers {
-		w := &worker{id: order.WorkerID(fmt.Sprintf("w%03d", i))}
-		options = append(options, w)
-		s.tickets[w.id] = ticket{validUntil: testStart.Add(time.Duration(-i) * time.Second)}
-	}
-	list := d.m.workersToRenew(pendingStep{step: s, queue: q}, options[:2*maxAdviceWorkers], options)
-	d.is.Equal(len(list), maxAdviceWorkers)
-	d.is.Equal(list[0], order.WorkerID("w199")) // its ticket expired first
-	d.is.Equal(len(d.m.workersToRenew(pendingStep{step: s, queue: q}, nil, options)), minAdviceWorkers)
-}
-
 // A short task must be restarted elsewhere if its worker responds but the run
 // makes no progress.
 func TestMovesStalledRun(t *testing.T) {
