--- a/scheduler/orders.go
+++ b/scheduler/orders.go
@@ -115,6 +115,10 @@
 		Start(ctx context.Context, o StartOrder) (clock int64, err error)
 		Stop(ctx context.Context, o StopOrder) (clock int64, err error)
 		Poll(ctx context.Context, o PollOrder) (Report, error)
+
+		// Disconnect closes all connections, so that pending calls fail. A
+		// cancelled context does not end them.
+		Disconnect()
 	}
 
 	// Adviser requests from the advice service which of the workers may run a
@@ -232,6 +236,12 @@
 	return o
 }
 
+// WithTo returns a copy for another worker.
+func (o PollOrder) WithTo(to WorkerAddress) PollOrder {
+	o.to = to
+	return o
+}
+
 // Job returns the ID of the job.
 func (t TaskRef) Job() order.JobID { return t.job }
 
--- a/scheduler/runner.go
+++ b/scheduler/runner.go
@@ -106,6 +106,7 @@
 func (r *Runner) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer r.wg.Wait()
+	defer r.workers.Disconnect()
 	defer cancel()
 	ticks := r.clock.Subscribe(tickInterval)
 	defer ticks.Close()
