Answer known refusals at once, and never accept a refused call

If the owner refused the first copy because the store was stalled, and the second copy was handled after the store had returned, the job was accepted and ran although its client had been told that it never would.

A call that was not sent, because there is no link to an owner, is refused after 0.5 s (1.2 s before); one that was sent to an owner that is lost is answered 504 after 1.3 s. The owner refuses new jobs after 0.45 s in which a batch is in flight and none is stored (0.9 s for any batch before), and answers that the outcome is unknown after 1.2 s. A slow store that stores batches leads to no refusal.

--- a/entryhost/forwarder.go
+++ b/entryhost/forwarder.go
@@ -25,6 +25,7 @@
 
 		mu       sync.Mutex
 		owner    order.MemberID
+		linked   map[order.MemberID]bool
 		lastCall uint64
 		pending  map[uint64]*pendingCall
 
@@ -33,11 +34,12 @@
 	}
 
 	// pendingCall is a call without a reply. attempts counts how often it was
-	// passed to the sender, including failed sends; it is 0 while no owner is
-	// known.
+	// sent; it is 0 while there was no owner with a link.
 	pendingCall struct {
 		msg      order.JobCallMsg
 		reply    chan order.JobReplyMsg
+		failed   chan error
+		started  time.Time
 		lastSent time.Time
 		attempts int
 	}
@@ -49,9 +51,15 @@
 	// while the store is slow.
 	resendInterval = 700 * time.Millisecond
 
-	// ownerTimeout is how long a call waits until an owner is known. A
-	// takeover takes about as long.
-	ownerTimeout = 1200 * time.Millisecond
+	// ownerTimeout is how long a call waits for an owner with a link before it
+	// is refused. A planned handover is faster. A longer wait would take the
+	// time that the caller needs for another attempt.
+	ownerTimeout = 500 * time.Millisecond
+
+	// lostOwnerTimeout is how long a call that was sent waits for a reply while
+	// there is no link to an owner. It is less than half of the time that
+	// callers wait.
+	lostOwnerTimeout = 1300 * time.Millisecond
 )
 
 var (
@@ -66,15 +74,14 @@
 // NewForwarder returns a forwarder without an owner. Its calls wait for
 // SetOwner.
 func NewForwarder(self order.MemberID, sender order.Sender, clock timers.Clock, registry *gauge.Registry, log zerolog.Logger) *Forwarder {
-	return &Forwarder{self: self, sender: sender, clock: clock, registry: registry, log: log, pending: make(map[uint64]*pendingCall), abort: make(chan struct{})}
+	return &Forwarder{self: self, sender: sender, clock: clock, registry: registry, log: log, linked: map[order.MemberID]bool{self: true}, pending: make(map[uint64]*pendingCall), abort: make(chan struct{})}
 }
 
 // Call forwards the call and waits for the reply. Calls are idempotent, so a
 // call is resent, also to a new owner, until it gets a reply. The error is
 // ErrNoOwner or ErrNoReply.
 func (f *Forwarder) Call(ctx context.Context, m order.JobCallMsg) (order.JobReplyMsg, error) {
-	started := f.clock.Now()
-	p := &pendingCall{reply: make(chan order.JobReplyMsg, 1)}
+	p := &pendingCall{reply: make(chan order.JobReplyMsg, 1), failed: make(chan error, 1), started: f.clock.Now()}
 	f.mu.Lock()
 	f.lastCall++
 	id := f.lastCall
@@ -83,22 +90,16 @@
 	f.send(p)
 	f.mu.Unlock()
 	defer f.remove(id)
-	ownerDeadline := f.clock.After(ownerTimeout)
-	for {
-		select {
-		case r := <-p.reply:
-			f.registry.Observe("pier.call."+m.Verb().String(), f.clock.Now().Sub(started))
-			return r, nil
-		case <-ownerDeadline:
-			if f.attempts(p) == 0 {
-				return order.JobReplyMsg{}, f.recordFailure(m, p, ErrNoOwner)
-			}
-		case <-ctx.Done():
-			return order.JobReplyMsg{}, f.recordFailure(m, p, f.unansweredError(p))
-		case <-f.abort:
-			return order.JobReplyMsg{}, f.recordFailure(m, p, f.unansweredError(p))
-		}
+	select {
+	case r := <-p.reply:
+		f.registry.Observe("pier.call."+m.Verb().String(), f.clock.Now().Sub(p.started))
+		return r, nil
+	case err := <-p.failed:
+		return order.JobReplyMsg{}, f.recordFailure(m, p, err)
+	case <-ctx.Done():
+	case <-f.abort:
 	}
+	return order.JobReplyMsg{}, f.recordFailure(m, p, f.unansweredError(p))
 }
 
 // unansweredError returns the error of a call without a reply: ErrNoOwner if
@@ -133,16 +134,18 @@
 	delete(f.pending, id)
 }
 
-// send sends the call to the owner, if one is known. The lock must be held.
+// send sends the call to the owner, if there is a link to it. The lock must be
+// held.
 func (f *Forwarder) send(p *pendingCall) {
-	if f.owner == "" {
+	if !f.linked[f.owner] {
 		return
 	}
 	p.lastSent = f.clock.Now()
-	p.attempts++
 	if err := f.sender.Send(f.owner, p.msg); err != nil {
 		f.log.Warn().Err(err).Str("owner", string(f.owner)).Msg("pier: call not sent")
+		return
 	}
+	p.attempts++
 }
 
 // SetOwner sets the owner of the cell. If it has changed, all pending calls
@@ -154,18 +157,43 @@
 		return
 	}
 	f.owner = owner
+	f.sendPending()
+}
+
+// SetLink records that the link to another host was opened or lost. A call is
+// only sent over an open link, so that one that waits has certainly had no
+// effect.
+func (f *Forwarder) SetLink(peer order.MemberID, up bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !up {
+		delete(f.linked, peer)
+		return
+	}
+	f.linked[peer] = true
+	if peer == f.owner {
+		f.sendPending()
+	}
+}
+
+// sendPending sends all pending calls. The lock must be held.
+func (f *Forwarder) sendPending() {
 	for _, p := range f.pending {
 		f.send(p)
 	}
 }
 
 // Resend resends the pending calls that were last sent at least resendInterval
-// ago.
+// ago, and fails those that have waited too long for an owner with a link.
 func (f *Forwarder) Resend() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.clock.Now()
 	for _, p := range f.pending {
+		if !f.linked[f.owner] {
+			p.failWithoutOwner(now)
+			continue
+		}
 		if now.Sub(p.lastSent) >= resendInterval {
 			f.registry.Count("pier.resent")
 			f.send(p)
@@ -173,6 +201,23 @@
 	}
 }
 
+// failWithoutOwner fails the call if it has waited too long.
+func (p *pendingCall) failWithoutOwner(now time.Time) {
+	var err error
+	switch waited := now.Sub(p.started); {
+	case p.attempts == 0 && waited >= ownerTimeout:
+		err = ErrNoOwner
+	case p.attempts > 0 && waited >= lostOwnerTimeout:
+		err = ErrNoReply
+	default:
+		return
+	}
+	select {
+	case p.failed <- err:
+	default:
+	}
+}
+
 // HandleReply passes a reply to the call that waits for it. A reply other than
 // Done counts only if it comes from the current owner: a former owner may have
 // outdated state, and so report that a job is unknown or refused.
--- a/entryhost/forwarder_test.go
+++ b/entryhost/forwarder_test.go
@@ -69,6 +69,9 @@
 	f = newForwarder(r)
 	f.SetOwner(ownerA)
 	_, errs = startCall(f, 100*time.Millisecond)
+	is.True(errors.Is(<-errs, ErrNoOwner)) // no link to the owner yet
+	f.SetLink(ownerA, true)
+	_, errs = startCall(f, 100*time.Millisecond)
 	is.True(errors.Is(<-errs, ErrNoReply))
 	is.Equal((<-r.sent).to, ownerA)
 }
@@ -81,6 +84,8 @@
 	r := newRecorder()
 	f := newForwarder(r)
 	f.SetOwner(ownerA)
+	f.SetLink(ownerA, true)
+	f.SetLink(ownerB, true)
 	replies, _ := startCall(f, 5*time.Second)
 	first := <-r.sent
 	f.SetOwner(ownerB)
@@ -100,8 +105,76 @@
 	r := newRecorder()
 	f := newForwarder(r)
 	f.SetOwner(ownerA)
+	f.SetLink(ownerA, true)
 	_, errs := startCall(f, time.Minute)
 	<-r.sent
 	f.Abort()
 	is.True(errors.Is(<-errs, ErrNoReply))
 }
+
+// tick resends and expires the calls of the forwarder until the test ends.
+func tick(t *testing.T, f *Forwarder) {
+	done := make(chan struct{})
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		for {
+			select {
+			case <-time.After(heartbeatTick):
+				f.Resend()
+			case <-done:
+				return
+			}
+		}
+	}()
+	t.Cleanup(func() {
+		close(done)
+		<-stopped
+	})
+}
+
+// A call that cannot be sent is known not to run. It must be refused at once,
+// while its caller still has time for another attempt.
+func TestRefusesUnsentCallSoon(t *testing.T) {
+	is := is.New(t)
+	f := newForwarder(newRecorder())
+	tick(t, f)
+	f.SetOwner(ownerA)
+	began := time.Now()
+	_, errs := startCall(f, 10*time.Second)
+	is.True(errors.Is(<-errs, ErrNoOwner))
+	is.True(time.Since(began) < time.Second)
+}
+
+// A call whose owner was lost may have run. Its caller must learn that before
+// half of its time has passed.
+func TestReportsLostOwnerSoon(t *testing.T) {
+	is := is.New(t)
+	r := newRecorder()
+	f := newForwarder(r)
+	tick(t, f)
+	f.SetOwner(ownerA)
+	f.SetLink(ownerA, true)
+	began := time.Now()
+	_, errs := startCall(f, 10*time.Second)
+	<-r.sent
+	f.SetLink(ownerA, false)
+	is.True(errors.Is(<-errs, ErrNoReply))
+	is.True(time.Since(began) < 1800*time.Millisecond)
+}
+
+// A call that arrives between the loss of an owner and the link to the next one
+// must be sent as soon as that link is open.
+func TestSendsWaitingCallOnLink(t *testing.T) {
+	is := is.New(t)
+	r := newRecorder()
+	f := newForwarder(r)
+	f.SetOwner(ownerB)
+	replies, _ := startCall(f, 5*time.Second)
+	time.Sleep(10 * time.Millisecond)
+	is.Equal(len(r.sent), 0)
+	f.SetLink(ownerB, true)
+	sent := <-r.sent
+	f.HandleReply(ownerB, order.JobReplyMsg{}.WithCall(sent.msg.Call()).WithCode(order.Done))
+	is.Equal((<-replies).Code(), order.Done)
+}
--- a/entryhost/host.go
+++ b/entryhost/host.go
@@ -409,6 +409,7 @@
 		delete(h.storeReports, peer)
 	}
 	h.mu.Unlock()
+	h.forwarder.SetLink(peer, up)
 	h.sendToCell(scheduler.NewHostLinkMsg(peer, up))
 	if owner, _, _ := h.elector.Owner(); !up && peer == owner {
 		h.wg.Add(1)
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -52,6 +52,9 @@
 		call uint64
 		verb order.JobVerb
 		seq  int
+
+		// since is when the call arrived.
+		since time.Time
 	}
 
 	// step is one step of one occurrence of a job.
--- a/scheduler/journal.go
+++ b/scheduler/journal.go
@@ -16,6 +16,7 @@
 		inFlight    map[int]inFlightBatch
 		lastBatchID int
 		lastFlush   time.Time
+		lastStored  time.Time
 		deletions   []storage.Entry
 		lastPrune   time.Time
 
@@ -67,10 +68,15 @@
 	// them.
 	minBackgroundJobs = 4
 
-	// storeStallTimeout is how long a batch may be in flight before new jobs
-	// are refused. If another process reaches the store, it takes the cell over
-	// before that.
-	storeStallTimeout = 900 * time.Millisecond
+	// storeStallTimeout is how long a batch may be in flight, while no other
+	// is stored, before new jobs are refused. It covers a lost response with
+	// the repeated call, and a store slowed down 60 times.
+	storeStallTimeout = 450 * time.Millisecond
+
+	// uncertainReplyDelay is how long a call waits for a batch of a stalled
+	// store before it is answered that the outcome is unknown. It is less than
+	// half of the time that callers wait.
+	uncertainReplyDelay = 1200 * time.Millisecond
 
 	// pruneInterval is how often ended jobs are checked against the retention.
 	pruneInterval = 10 * time.Second
@@ -117,8 +123,12 @@
 	return min(flushInterval, time.Duration(writeRateDivisor*float64(time.Second)/m.limits.writesPerSecond))
 }
 
-// storeStalled reports whether a batch has been in flight for too long.
+// storeStalled reports whether a batch has been in flight for too long and none
+// has been stored meanwhile.
 func (m *Scheduler) storeStalled(now time.Time) bool {
+	if now.Sub(m.journal.lastStored) <= storeStallTimeout {
+		return false
+	}
 	for _, f := range m.journal.inFlight {
 		if now.Sub(f.sentAt) > storeStallTimeout {
 			return true
@@ -127,13 +137,41 @@
 	return false
 }
 
-// refuseUnsent refuses the new jobs that were in no batch yet while the store
-// is stalled. The jobs in a batch may be stored, so only the others certainly
-// never run.
-func (m *Scheduler) refuseUnsent(now time.Time) {
+// answerStalled answers the calls that wait for a stalled store: new jobs that
+// were in no batch yet are refused, and calls whose batch may be stored get the
+// answer that the outcome is unknown.
+func (m *Scheduler) answerStalled(now time.Time) {
 	if !m.storeStalled(now) {
 		return
 	}
+	m.refuseUnsent(now)
+	for _, f := range m.journal.inFlight {
+		for _, j := range f.jobs {
+			m.answerUncertain(now, j)
+		}
+	}
+}
+
+// answerUncertain answers the calls that have waited for the job's batch for
+// uncertainReplyDelay.
+func (m *Scheduler) answerUncertain(now time.Time, j *job) {
+	remaining := j.waiters[:0]
+	for _, w := range j.waiters {
+		if now.Sub(w.since) < uncertainReplyDelay {
+			remaining = append(remaining, w)
+			continue
+		}
+		m.registry.Count("yard.uncertain")
+		m.log.Warn().Str("job", string(j.id)).Stringer("verb", w.verb).Dur("waited", now.Sub(w.since)).
+			Msg("yard: outcome unknown, the store does not answer")
+		m.reply(w.from, w.call, order.OutcomeUnknown, order.JobPending, "the store does not answer")
+	}
+	j.waiters = remaining
+}
+
+// refuseUnsent refuses the new jobs that were in no batch yet. The jobs in a
+// batch may be stored, so only the others certainly never run.
+func (m *Scheduler) refuseUnsent(now time.Time) {
 	remaining := m.journal.dirty[:0:0]
 	for _, j := range m.journal.dirty {
 		if j.persisted || j.inFlight || j.everSent {
@@ -145,6 +183,7 @@
 		m.registry.Count("yard.refused.journal_unavailable")
 		m.log.Warn().Str("job", string(j.id)).Int("calls", len(j.waiters)).Msg("yard: refused, the store takes no batches")
 		for _, w := range j.waiters {
+			m.refusals.add(now, w.from, w.call, order.JournalUnavailable)
 			m.reply(w.from, w.call, order.JournalUnavailable, order.JobPending, "the store takes no batches")
 		}
 	}
@@ -249,12 +288,13 @@
 
 // handleCommitted updates the jobs and workers of a stored batch and answers
 // the calls that waited for it.
-func (m *Scheduler) handleCommitted(in CommittedMsg) {
+func (m *Scheduler) handleCommitted(now time.Time, in CommittedMsg) {
 	f, ok := m.journal.inFlight[in.batchID]
 	if !ok {
 		return
 	}
 	delete(m.journal.inFlight, in.batchID)
+	m.journal.lastStored = now
 	if f.workers != nil {
 		m.journal.workersVersion, m.journal.workersInFlight = in.version, false
 	}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -45,6 +45,7 @@
 		shareBuckets   map[order.TeamName]*tokenBucket
 
 		journal   journal
+		refusals  refusals
 		startedAt time.Time
 
 		// nextPlacement is the earliest time of the next round of placement.
@@ -248,6 +249,7 @@
 		startedAt:      now,
 	}
 	m.journal = newJournal(record)
+	m.refusals = make(refusals)
 	return m
 }
 
@@ -272,7 +274,7 @@
 	case PolledMsg:
 		m.handlePoll(now, in)
 	case CommittedMsg:
-		m.handleCommitted(in)
+		m.handleCommitted(now, in)
 	case PauseMsg:
 		m.paused = in.paused
 	}
@@ -282,7 +284,7 @@
 // time, and returns the commands to execute in order.
 func (m *Scheduler) Decide(now time.Time) []Command {
 	m.expireRuns(now)
-	m.refuseUnsent(now)
+	m.answerStalled(now)
 	m.place(now)
 	m.pollWorkers(now)
 	m.flush(now)
@@ -334,6 +336,7 @@
 		return
 	}
 	m.journal.lastPrune = now
+	m.refusals.expire(now)
 	for id, j := range m.jobs {
 		if j.storedState.Ended() && !j.inFlight && !j.dirty && now.Sub(j.ended) > m.limits.retention+pruneInterval {
 			m.journal.deletions = append(m.journal.deletions, storage.NewEntry(jobKey(id), nil, j.version))
--- a/scheduler/submit.go
+++ b/scheduler/submit.go
@@ -22,30 +22,35 @@
 // handleCall answers a caller's request, at once or when the change that it
 // makes is stored.
 func (m *Scheduler) handleCall(now time.Time, from order.MemberID, c order.JobCallMsg) {
+	if code, ok := m.refusals.find(from, c.Call()); ok && c.Verb() == order.SubmitJob {
+		m.registry.Count("yard.refused_before")
+		m.reply(from, c.Call(), code, order.JobPending, "refused before")
+		return
+	}
 	if m.config.Revision() == 0 {
-		m.refuse(from, c, order.ConfigUncertain, "no configuration yet")
+		m.refuse(now, from, c, order.ConfigUncertain, "no configuration yet")
 		return
 	}
 	queue, idText, ok := m.config.Route(c.Host(), c.Path())
 	if !ok {
-		m.refuseUnlessStored(from, c, order.UnknownQueue, "no queue at this address")
+		m.refuseUnlessStored(now, from, c, order.UnknownQueue, "no queue at this address")
 		return
 	}
 	team, ok := m.config.TeamOf(c.Key())
 	if !ok && !queue.Anonymous() {
-		m.refuseUnlessStored(from, c, order.KeyUnknown, "key unknown")
+		m.refuseUnlessStored(now, from, c, order.KeyUnknown, "key unknown")
 		return
 	}
 	id := order.JobID(idText)
 	if c.Verb() != order.CountWaiting && !validID(idText) {
-		m.refuse(from, c, order.UnknownRequest, "not a job ID")
+		m.refuse(now, from, c, order.UnknownRequest, "not a job ID")
 		return
 	}
 	switch c.Verb() {
 	case order.SubmitJob:
 		m.submit(now, from, c, queue, team, id)
 	case order.JobStatus:
-		m.replyStatus(from, c, id)
+		m.replyStatus(now, from, c, id)
 	case order.CancelJob:
 		m.cancelJob(now, from, c, id)
 	case order.CountWaiting:
@@ -63,15 +68,15 @@
 // the first submission, so callers may send again.
 func (m *Scheduler) submit(now time.Time, from order.MemberID, c order.JobCallMsg, queue policy.Queue, team order.TeamName, id order.JobID) {
 	if j, ok := m.jobs[id]; ok {
-		m.replyWhenStored(j, from, c)
+		m.replyWhenStored(now, j, from, c)
 		return
 	}
 	if m.storeStalled(now) {
-		m.refuse(from, c, order.JournalUnavailable, "the store takes no batches")
+		m.refuse(now, from, c, order.JournalUnavailable, "the store takes no batches")
 		return
 	}
 	if code, text := validateSpec(c.Spec()); code != order.Done {
-		m.refuse(from, c, code, text)
+		m.refuse(now, from, c, code, text)
 		return
 	}
 	j := newJob(id, queue.Name(), team, c.Spec(), now, m.epoch)
@@ -79,7 +84,7 @@
 	m.jobs[id] = j
 	m.active[id] = j
 	m.markDirty(j)
-	m.replyWhenStored(j, from, c)
+	m.replyWhenStored(now, j, from, c)
 	m.registry.Count("yard.submitted." + string(queue.Name()))
 	m.log.Info().Str("job", string(id)).Str("queue", string(queue.Name())).Str("team", string(team)).
 		Uint64("revision", uint64(m.config.Revision())).Int("steps", len(c.Spec().Steps())).Bool("excess", j.excess).Msg("yard: submitted")
@@ -111,12 +116,12 @@
 }
 
 // replyWhenStored answers the call once the job's latest change is stored.
-func (m *Scheduler) replyWhenStored(j *job, from order.MemberID, c order.JobCallMsg) {
+func (m *Scheduler) replyWhenStored(now time.Time, j *job, from order.MemberID, c order.JobCallMsg) {
 	if j.storedSeq >= j.seq {
 		m.reply(from, c.Call(), order.Done, j.visibleState(), "")
 		return
 	}
-	j.waiters = append(j.waiters, waiter{from: from, call: c.Call(), verb: c.Verb(), seq: j.seq})
+	j.waiters = append(j.waiters, waiter{from: from, call: c.Call(), verb: c.Verb(), seq: j.seq, since: now})
 }
 
 // validateSpec returns the code and text with which a job is refused, or Done.
@@ -146,10 +151,10 @@
 
 // replyStatus answers with the state of the job. A job that is not stored yet
 // may still be refused, so it counts as unknown.
-func (m *Scheduler) replyStatus(from order.MemberID, c order.JobCallMsg, id order.JobID) {
+func (m *Scheduler) replyStatus(now time.Time, from order.MemberID, c order.JobCallMsg, id order.JobID) {
 	j, ok := m.jobs[id]
 	if !ok || !j.persisted {
-		m.refuse(from, c, order.UnknownRequest, "no such job")
+		m.refuse(now, from, c, order.UnknownRequest, "no such job")
 		return
 	}
 	m.reply(from, c.Call(), order.Done, j.visibleState(), "")
@@ -160,13 +165,13 @@
 func (m *Scheduler) cancelJob(now time.Time, from order.MemberID, c order.JobCallMsg, id order.JobID) {
 	j, ok := m.jobs[id]
 	if !ok {
-		m.refuse(from, c, order.UnknownRequest, "no such job")
+		m.refuse(now, from, c, order.UnknownRequest, "no such job")
 		return
 	}
 	if !j.state.Ended() {
 		m.endJob(now, j, order.JobCancelled, "cancelled by the client")
 	}
-	m.replyWhenStored(j, from, c)
+	m.replyWhenStored(now, j, from, c)
 }
 
 // endJob sets the final state of a job and stops its runs.
@@ -211,18 +216,21 @@
 // refuseUnlessStored refuses a call that the configuration does not allow. If
 // it repeats the submission of a job accepted under an earlier configuration,
 // the outcome is unknown: a refusal would say that the job never runs.
-func (m *Scheduler) refuseUnlessStored(to order.MemberID, c order.JobCallMsg, code order.Code, text string) {
+func (m *Scheduler) refuseUnlessStored(now time.Time, to order.MemberID, c order.JobCallMsg, code order.Code, text string) {
 	id := order.JobID(c.Path()[strings.LastIndexByte(c.Path(), '/')+1:])
 	if _, ok := m.jobs[id]; ok && c.Verb() == order.SubmitJob {
 		code, text = order.OutcomeUnknown, text+", but the job was submitted before"
 	}
-	m.refuse(to, c, code, text)
+	m.refuse(now, to, c, code, text)
 }
 
 // refuse answers a call that changed nothing.
-func (m *Scheduler) refuse(to order.MemberID, c order.JobCallMsg, code order.Code, text string) {
+func (m *Scheduler) refuse(now time.Time, to order.MemberID, c order.JobCallMsg, code order.Code, text string) {
 	m.registry.Count("yard.refused." + code.String())
 	m.log.Info().Stringer("verb", c.Verb()).Str("path", c.Path()).Stringer("code", code).Str("reason", text).
 		Uint64("revision", uint64(m.config.Revision())).Msg("yard: refused")
+	if c.Verb() == order.SubmitJob && code != order.OutcomeUnknown {
+		m.refusals.add(now, to, c.Call(), code)
+	}
 	m.reply(to, c.Call(), code, order.JobPending, text)
 }
