Bound the owner's work under load and in recovery

Planning an advice request sorted all 1,100 workers, and after a takeover the owner polled all of them at once, so that no job was stored for 1.7 s.

A plan now visits only as many workers as it needs, beginning at a different one each time, which also spreads steps over the cell. The free fraction of a worker is kept, not computed in comparisons; gangs that cannot fit are recognized before any sorting. At most 64 workers get their first poll of an epoch at a time. A gang that waits for room reserves the workers that it is likely to need, not all that it may use.

--- a/scheduler/advice.go
+++ b/scheduler/advice.go
@@ -225,13 +225,13 @@
 	return min(maxAdviceWorkers, max(minAdviceWorkers, q.Advice().MaxWorkersPerCall()))
 }
 
-// freeFraction returns the free fraction of the worker's cores or memory,
-// whichever is smaller.
-func (w *worker) freeFraction() float64 {
+// updateFree sets the free fraction of the worker's cores or memory, whichever
+// is smaller. It is called whenever the capacity or what is used changes.
+func (w *worker) updateFree() {
 	capacity := w.info.capacity
 	cores := 1 - fraction(int64(w.used.Cores()), int64(capacity.Cores()))
 	memory := 1 - fraction(int64(w.used.Memory()), int64(capacity.Memory()))
-	return min(cores, memory)
+	w.free = min(cores, memory)
 }
 
 // fraction returns part/whole, or one if whole is not positive, so that a
--- a/scheduler/advice_plan.go
+++ b/scheduler/advice_plan.go
@@ -10,14 +10,6 @@
 )
 
 type (
-	// adviceCandidate is a worker that a step may request advice on. room is
-	// how many of the step's tasks it is expected to take.
-	adviceCandidate struct {
-		id   order.WorkerID
-		room float64
-		free float64
-	}
-
 	// grantShare estimates which share of the workers that a queue's requests
 	// name get a ticket.
 	grantShare struct{ named, granted float64 }
@@ -45,7 +37,11 @@
 	minGrantShare = 0.05
 
 	// advicePlanInterval is how often a step considers new requests.
-	advicePlanInterval = 40 * time.Millisecond
+	advicePlanInterval = 100 * time.Millisecond
+
+	// adviceStride is how many workers apart two successive plans begin. It is
+	// prime, so that the plans cover all workers alike.
+	adviceStride = 61
 
 	// stepHostDivisor sets which part of the free hosts one step may use at a
 	// time: one in this many.
@@ -107,49 +103,67 @@
 	return min(m.maxWorkersPerRequest(q), max(minAdviceWorkers, (workers+requests-1)/requests))
 }
 
-// workersToName returns the workers on which the step needs advice, those
-// known to be allowed first.
+// workersToName returns the workers on which the step needs advice: those known
+// to be allowed first, then others with room, then others without. Steps begin
+// at different workers, so that they compete less for the same room.
 func (m *Scheduler) workersToName(now time.Time, p pendingStep) []order.WorkerID {
 	s := p.step
 	need := adviceSurplus * float64(len(s.tasks)-s.done-s.placed())
 	share := m.grants(s.job.queue).estimate()
 	horizon := now.Add(p.queue.Advice().Duration(minAdviceWorkers))
-	var renewals, others []adviceCandidate
-	for _, w := range m.sortedWorkers() {
-		if !m.schedulable(now, w, p.queue.Service()) || !m.feasible(w, s) {
-			continue
+	for id := range s.openRequests {
+		if w := m.workers[id]; w != nil {
+			need -= share * w.expectedRoom(s)
 		}
-		c := adviceCandidate{id: w.id, room: w.expectedRoom(s), free: w.freeFraction()}
-		t, allowed := s.tickets[w.id]
+	}
+	var list []order.WorkerID
+	var expiring []*worker
+	for _, w := range m.feasibleWorkers(now, p) {
 		switch {
-		case allowed && (s.openRequests[w.id] || t.validUntil.After(horizon)):
-			need -= c.room
-		case allowed:
-			renewals = append(renewals, c)
 		case s.openRequests[w.id]:
-			need -= share * c.room
-		case !s.requestedWorkers[w.id]:
-			others = append(others, c)
+		case s.tickets[w.id].validUntil.After(horizon):
+			need -= w.expectedRoom(s)
+		default:
+			expiring = append(expiring, w)
 		}
 	}
-	list := takeCandidates(nil, renewals, &need, 1)
-	return takeCandidates(list, others, &need, share)
+	slices.SortStableFunc(expiring, func(a, b *worker) int { return cmp.Compare(b.free, a.free) })
+	for _, w := range expiring {
+		if need <= 0 {
+			return list
+		}
+		list = append(list, w.id)
+		need -= w.expectedRoom(s)
+	}
+	if need <= 0 {
+		return list
+	}
+	return m.appendUnknown(now, p, list, need/share)
 }
 
-// takeCandidates appends the candidates with the most room until they cover
-// the need. Each is allowed with the given probability. A list that is not
-// empty is extended to minAdviceWorkers, since a response on fewer workers
-// comes hardly sooner.
-func takeCandidates(list []order.WorkerID, candidates []adviceCandidate, need *float64, probability float64) []order.WorkerID {
-	slices.SortStableFunc(candidates, func(a, b adviceCandidate) int {
-		return cmp.Or(cmp.Compare(b.room, a.room), cmp.Compare(b.free, a.free))
-	})
-	for _, c := range candidates {
-		if *need <= 0 && (len(list) == 0 || len(list) >= minAdviceWorkers) {
-			break
+// appendUnknown appends workers that the step has not asked about, until their
+// expected room covers the need. The list is extended to minAdviceWorkers,
+// since a response on fewer workers comes hardly sooner.
+func (m *Scheduler) appendUnknown(now time.Time, p pendingStep, list []order.WorkerID, need float64) []order.WorkerID {
+	all := m.sortedWorkers()
+	if len(all) == 0 {
+		return list
+	}
+	m.adviceOffset = (m.adviceOffset + adviceStride) % len(all)
+	for _, wantRoom := range []bool{true, false} {
+		for i := range all {
+			if need <= 0 && len(list) >= minAdviceWorkers {
+				return list
+			}
+			w := all[(m.adviceOffset+i)%len(all)]
+			room := w.expectedRoom(p.step)
+			if (room >= 1) != wantRoom || p.step.requestedWorkers[w.id] || p.step.openRequests[w.id] ||
+				!m.schedulable(now, w, p.queue.Service()) || !m.feasible(w, p.step) {
+				continue
+			}
+			list = append(list, w.id)
+			need -= room
 		}
-		list = append(list, c.id)
-		*need -= probability * c.room
 	}
 	return list
 }
@@ -168,24 +182,10 @@
 // expectedRoom returns how many tasks of the step the worker is expected to
 // take by the time of a response.
 func (w *worker) expectedRoom(s *step) float64 {
-	size, free := s.spec.Size(), w.info.capacity.Minus(w.used)
-	room := len(s.tasks)
-	if limit := s.spec.PerWorker(); limit > 0 {
-		room = min(room, limit-s.tasksOn(w))
-	}
-	if cores := size.Cores(); cores > 0 {
-		room = min(room, int(free.Cores()/cores))
-	}
-	if memory := size.Memory(); memory > 0 {
-		room = min(room, int(free.Memory()/memory))
-	}
-	if accelerators := size.Accelerators(); accelerators > 0 {
-		room = min(room, int(free.Accelerators()/accelerators))
-	}
-	if room <= 0 {
-		return occupiedRoom
+	if room := w.room(s); room > 0 {
+		return float64(room)
 	}
-	return float64(room)
+	return occupiedRoom
 }
 
 // grants returns the estimate of the queue.
--- a/scheduler/attempt.go
+++ b/scheduler/attempt.go
@@ -73,6 +73,7 @@
 func (m *Scheduler) allocate(a *attempt) {
 	a.worker.attempts[attemptKey{a.ref, a.run}] = a
 	a.worker.used = a.worker.used.Plus(a.size)
+	a.worker.updateFree()
 	m.usage[a.team] = m.usage[a.team].Plus(a.size)
 	if a.sizeUnknown {
 		a.worker.unknownSizes++
@@ -87,6 +88,7 @@
 	}
 	delete(a.worker.attempts, key)
 	a.worker.used = a.worker.used.Minus(a.size)
+	a.worker.updateFree()
 	m.usage[a.team] = m.usage[a.team].Minus(a.size)
 	if a.sizeUnknown {
 		a.worker.unknownSizes--
--- a/scheduler/bench_test.go
+++ b/scheduler/bench_test.go
@@ -27,3 +27,43 @@
 		d.m.place(d.now)
 	}
 }
+
+// BenchmarkPlaceWideGangs measures a round of placement on a full cell of 1,100
+// workers, while 30 gangs of 40 tasks and 60 smaller steps wait for room.
+func BenchmarkPlaceWideGangs(b *testing.B) {
+	d := newAdviceDriver(b, slowAdvice, 146, 1100)
+	for _, w := range d.m.workers {
+		w.used = order.NewResources(7500, 1<<20, 0)
+		w.updateFree()
+	}
+	for i := range 30 {
+		d.submit(i, smallStep(40).WithGang(true))
+	}
+	for i := range 60 {
+		d.submit(100+i, smallStep(4))
+	}
+	d.commitAll()
+	answer := func() {
+		for i, q := range d.takeAdviceRequests() {
+			var good []order.WorkerID
+			for j, id := range q.Workers() {
+				if (i+j)%3 == 0 {
+					good = append(good, id)
+				}
+			}
+			d.answerAdvice(q, good...)
+		}
+	}
+	answer()
+	b.ReportAllocs()
+	for b.Loop() {
+		d.now = d.now.Add(placeInterval + 100*placeIntervalPerStep)
+		d.m.place(d.now)
+		if len(d.m.commands) > 0 {
+			b.StopTimer()
+			d.decide()
+			answer()
+			b.StartTimer()
+		}
+	}
+}
--- a/scheduler/gang.go
+++ b/scheduler/gang.go
@@ -1,13 +1,20 @@
 package scheduler
 
 import (
+	"cmp"
 	"slices"
-	"sort"
 	"time"
 
 	"chervilhollow/order"
 )
 
+// scoredWorker is a worker with its room for the tasks of a step.
+type scoredWorker struct {
+	worker *worker
+	room   int
+	score  float64
+}
+
 // placeGang starts all tasks of a gang together, or none of them.
 func (m *Scheduler) placeGang(now time.Time, p pendingStep, reserved map[order.WorkerID]bool) {
 	s := p.step
@@ -29,14 +36,14 @@
 
 // reserveForGang reserves the workers that a gang is to get, so that less
 // urgent steps do not use their capacity in this round, and requests the
-// tickets that the gang lacks. If the gang fits nowhere yet, it reserves all
-// feasible workers.
+// tickets that the gang lacks. If the gang fits nowhere yet, it reserves the
+// workers that are likely to have capacity for it first.
 func (m *Scheduler) reserveForGang(now time.Time, p pendingStep, feasible []*worker, reserved map[order.WorkerID]bool) {
 	chosen := m.assignGang(p.step, feasible, reserved)
 	if chosen == nil {
 		m.recordWait(now, p, "gang_room", len(feasible))
 		m.requestMoreAdvice(now, p)
-		chosen = feasible
+		chosen = m.likelyWorkers(p.step, feasible, reserved)
 	} else {
 		m.recordWait(now, p, "tickets", len(feasible))
 		m.requestMoreAdvice(now, p)
@@ -46,6 +53,25 @@
 	}
 }
 
+// likelyWorkers returns the workers with the most free capacity, as many as the
+// gang would need if each took a task more than it has room for. Less urgent
+// steps may use the others.
+func (m *Scheduler) likelyWorkers(s *step, feasible []*worker, reserved map[order.WorkerID]bool) []*worker {
+	list := make([]scoredWorker, 0, len(feasible))
+	for _, w := range feasible {
+		if !reserved[w.id] {
+			list = append(list, scoredWorker{worker: w, room: w.room(s) + 1, score: w.free})
+		}
+	}
+	slices.SortStableFunc(list, func(a, b scoredWorker) int { return cmp.Compare(b.score, a.score) })
+	var likely []*worker
+	for room, i := 0, 0; room < len(s.tasks) && i < len(list); i++ {
+		likely = append(likely, list[i].worker)
+		room += list[i].room
+	}
+	return likely
+}
+
 // assignGang returns a worker for each task of a gang, or nil if they do not
 // fit. A gang that is slow across racks gets a single rack where possible.
 func (m *Scheduler) assignGang(s *step, feasible []*worker, reserved map[order.WorkerID]bool) []*worker {
@@ -70,24 +96,45 @@
 // packGang assigns the tasks of a gang to workers in order of their score, as
 // many to each as fit.
 func (m *Scheduler) packGang(s *step, feasible []*worker, reserved map[order.WorkerID]bool) []*worker {
-	sorted := slices.Clone(feasible)
-	sort.SliceStable(sorted, func(i, j int) bool { return m.score(sorted[i], s) > m.score(sorted[j], s) })
-	size := s.spec.Size()
-	var chosen []*worker
-	for _, w := range sorted {
+	usable := make([]scoredWorker, 0, len(feasible))
+	total := 0
+	for _, w := range feasible {
 		if reserved[w.id] {
 			continue
 		}
-		used := w.used
-		n := s.tasksOn(w)
-		for len(chosen) < len(s.tasks) && used.Plus(size).FitsIn(w.info.capacity) && (s.spec.PerWorker() == 0 || n < s.spec.PerWorker()) {
-			used = used.Plus(size)
-			n++
-			chosen = append(chosen, w)
+		if room := w.room(s); room > 0 {
+			usable = append(usable, scoredWorker{worker: w, room: room, score: m.score(w, s)})
+			total += room
 		}
 	}
-	if len(chosen) < len(s.tasks) {
+	if total < len(s.tasks) {
 		return nil
 	}
+	slices.SortStableFunc(usable, func(a, b scoredWorker) int { return cmp.Compare(b.score, a.score) })
+	chosen := make([]*worker, 0, len(s.tasks))
+	for _, u := range usable {
+		for range min(u.room, len(s.tasks)-len(chosen)) {
+			chosen = append(chosen, u.worker)
+		}
+	}
 	return chosen
 }
+
+// room returns how many tasks of the step the worker can start now.
+func (w *worker) room(s *step) int {
+	size, free := s.spec.Size(), w.info.capacity.Minus(w.used)
+	room := len(s.tasks)
+	if limit := s.spec.PerWorker(); limit > 0 {
+		room = min(room, limit-s.tasksOn(w))
+	}
+	if cores := size.Cores(); cores > 0 {
+		room = min(room, int(free.Cores()/cores))
+	}
+	if memory := size.Memory(); memory > 0 {
+		room = min(room, int(free.Memory()/memory))
+	}
+	if accelerators := size.Accelerators(); accelerators > 0 {
+		room = min(room, int(free.Accelerators()/accelerators))
+	}
+	return max(0, room)
+}
--- a/scheduler/orders.go
+++ b/scheduler/orders.go
@@ -65,6 +65,9 @@
 		acked    int64
 		leaseEnd int64
 		wait     time.Duration
+
+		// first marks the first poll of a worker in the epoch.
+		first bool
 	}
 
 	// Report is a worker's response to a poll. Its clock and incarnation are
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -214,7 +214,7 @@
 // score returns how well the worker fits the step. Fuller workers score higher
 // (best fit), which keeps large blocks of capacity free for large tasks.
 func (m *Scheduler) score(w *worker, s *step) float64 {
-	score := 1 - w.freeFraction()
+	score := 1 - w.free
 	if rack := s.spec.DataRack(); rack != "" && rack == w.rack {
 		score += dataRackBonus
 	}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -42,12 +42,16 @@
 		adviceRequests map[uint64]*adviceRequest
 		lastAdviceCall uint64
 		grantShares    map[order.QueueName]*grantShare
+		adviceOffset   int
 		shareBuckets   map[order.TeamName]*tokenBucket
 
 		journal   journal
 		refusals  refusals
 		startedAt time.Time
 
+		// firstContacts counts the open polls that are the first of the epoch.
+		firstContacts int
+
 		// nextPlacement is the earliest time of the next round of placement.
 		nextPlacement time.Time
 		paused        bool
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -61,6 +61,9 @@
 		attempts    map[attemptKey]*attempt
 		used        order.Resources
 
+		// free is the free fraction of the capacity.
+		free float64
+
 		// unknownSizes counts the runs whose size is not known.
 		unknownSizes int
 
@@ -110,6 +113,11 @@
 	// unacknowledged ends, so an earlier poll would only return the same ends.
 	maxUnackedPollDelay = 300 * time.Millisecond
 
+	// maxFirstContacts is how many workers get their first poll of the epoch at
+	// a time. A new owner polls all workers; more open connections
+	// would delay the calls that clients wait for.
+	maxFirstContacts = 64
+
 	// departureWindow is less than the three heartbeats (4.5 s) after which the
 	// discovery removes a worker that sends none. A worker that is removed
 	// sooner has deregistered itself.
@@ -161,6 +169,7 @@
 	}
 	w.info, w.listed, w.draining = info, true, info.draining
 	w.rack = rackOf(info.labels)
+	w.updateFree()
 }
 
 // rackOf returns the label that names the rack, such as r1-2, or an empty
@@ -211,12 +220,19 @@
 		if w.polling || now.Before(w.nextPollAt) || !m.shouldPoll(w) {
 			continue
 		}
+		first := !w.contacted && w.missedCalls == 0
+		if first && m.firstContacts >= maxFirstContacts {
+			continue
+		}
 		m.acknowledge(w)
 		if len(w.unackedEnds) > 0 && now.Before(w.nextPollAt.Add(maxUnackedPollDelay)) {
 			continue
 		}
 		w.polling = true
-		o := PollOrder{to: w.address(), epoch: m.epoch, acked: w.acked}
+		if first {
+			m.firstContacts++
+		}
+		o := PollOrder{to: w.address(), epoch: m.epoch, acked: w.acked, first: first}
 		// A worker that does not respond gets no longer lease, so that its runs
 		// have certainly ended at some time.
 		if w.contacted && w.missedCalls == 0 {
@@ -279,6 +295,9 @@
 
 // handlePoll handles the result of a poll.
 func (m *Scheduler) handlePoll(now time.Time, in PolledMsg) {
+	if in.order.first {
+		m.firstContacts--
+	}
 	w := m.workers[in.order.to.worker]
 	if w == nil {
 		return
