Leave the cell with an owner that has lived through a store outage

A process whose own reads failed lately waits 0.9 s after they succeed before it claims from an owner that sends heartbeats; if its reads never failed, it claims as soon as before. While the store does not answer, reads and renewals have a timeout of 0.3 s. A batch without a response is sent again after 0.3 s while the earlier attempt goes on, in place of timeouts that double. TestOwnerKeepsCellAfterOutage fails on the old elector.

--- a/election/elector.go
+++ b/election/elector.go
@@ -67,9 +67,12 @@
 
 		// probes counts the successful reads in a row while the owner's last
 		// heartbeat reports that it does not reach the store, or there was
-		// none.
-		probes   int
-		probedAt time.Time
+		// none. The first of them was sent at probesSince, and the last read
+		// that failed at probeFailedAt.
+		probes        int
+		probedAt      time.Time
+		probesSince   time.Time
+		probeFailedAt time.Time
 	}
 
 	// Event is a change of the ownership: an AcquiredEvent, a LostEvent or an
@@ -124,8 +127,20 @@
 	minClaimProbes = 2
 	probeInterval  = 100 * time.Millisecond
 
+	// outageMemory is how long after a failed read of its own a process takes
+	// it that the store was down for the owner as well. It then waits for
+	// ownerGrace before it claims, so that an owner that has lived through the
+	// outage keeps the cell.
+	outageMemory = 3 * time.Second
+	ownerGrace   = 900 * time.Millisecond
+
 	callTimeout = 800 * time.Millisecond
-	eventBuffer = 64
+
+	// shortCallTimeout is the timeout of reads and renewals while the store
+	// does not answer, so that its return is noticed soon. A store slowed down
+	// 60 times answers after 240 ms.
+	shortCallTimeout = 300 * time.Millisecond
+	eventBuffer      = 64
 
 	// releaseCooldown is how long a process that released the cell makes no
 	// claim, and reclaimDelay how long one that lost it.
@@ -385,7 +400,7 @@
 // probe reads the ownership record, to check whether this process reaches the
 // store while the owner does not.
 func (e *Elector) probe(ctx context.Context) {
-	limited, cancel := context.WithTimeout(ctx, callTimeout)
+	limited, cancel := context.WithTimeout(ctx, shortCallTimeout)
 	defer cancel()
 	sent := e.clock.Now()
 	_, err := e.store.Get(limited, ownerKey)
@@ -393,9 +408,12 @@
 	defer e.mu.Unlock()
 	e.probedAt = sent
 	if err != nil {
-		e.probes = 0
+		e.probes, e.probeFailedAt = 0, sent
 		return
 	}
+	if e.probes == 0 {
+		e.probesSince = sent
+	}
 	e.probes++
 	e.storeAnsweredAt = timers.Later(e.storeAnsweredAt, sent)
 }
@@ -421,6 +439,9 @@
 	}
 	fresh := now.Sub(e.lastHeartbeatAt) < heartbeatTimeout
 	if fresh && !e.heartbeat.StoreReachable() {
+		if now.Sub(e.probeFailedAt) < outageMemory && now.Sub(e.probesSince) < ownerGrace {
+			return false
+		}
 		return e.probes >= minClaimProbes
 	}
 	return !e.leaseHeld && (!fresh || e.heartbeat.Leaving())
@@ -521,20 +542,24 @@
 // renew renews the lease. A lease that has expired is replaced if the record
 // still names this process.
 func (e *Elector) renew(ctx context.Context) {
-	limited, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
 	e.mu.Lock()
 	lease := e.lease
+	timeout := callTimeout
+	if e.clock.Now().Sub(e.storeAnsweredAt) > 2*renewInterval {
+		timeout = shortCallTimeout
+	}
 	e.mu.Unlock()
 	sent := e.clock.Now()
+	limited, cancel := context.WithTimeout(ctx, timeout)
 	err := e.store.KeepAlive(limited, lease)
+	cancel()
 	if errors.Is(err, storage.ErrLeaseEnded) {
-		err = e.replaceLease(limited)
+		err = e.replaceLease(ctx)
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.renewedAt = sent
 	if err == nil {
+		e.renewedAt = sent
 		e.storeAnsweredAt = timers.Later(e.storeAnsweredAt, sent)
 		return
 	}
@@ -545,6 +570,8 @@
 // replaceLease grants a new lease and writes it if the ownership record is
 // unchanged.
 func (e *Elector) replaceLease(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
 	e.mu.Lock()
 	version := e.version
 	e.mu.Unlock()
--- a/election/elector_test.go
+++ b/election/elector_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"time"
 
@@ -101,3 +102,69 @@
 	owner, _, _ = a.Owner()
 	is.Equal(owner, order.MemberID("10.0.0.2:7000/b"))
 }
+
+// sendHeartbeats sends the owner's heartbeats to the elector until the returned
+// function is called. reachable reports whether the owner reaches the store.
+func sendHeartbeats(e *Elector, owner order.MemberID, epoch order.Epoch, reachable func() bool) func() {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		timers.Every(ctx, timers.New(), 50*time.Millisecond, func(time.Time) {
+			e.HandleHeartbeat(owner, order.OwnerHeartbeatMsg{}.WithEpoch(epoch).WithStoreReachable(reachable()))
+		})
+	}()
+	return func() {
+		cancel()
+		<-done
+	}
+}
+
+// An owner that has lived through an outage of the store keeps the cell, even
+// though its lease has expired and other processes reach the store a little
+// sooner. A takeover would stop the cell for another second.
+func TestOwnerKeepsCellAfterOutage(t *testing.T) {
+	is := is.New(t)
+	store := storage.NewMemory(timers.New())
+	a, b := newElector("10.0.0.1:7000/a", store), newElector("10.0.0.2:7000/b", store)
+	defer run(a)()
+	first := waitAcquired(t, a)
+	defer run(b)()
+	time.Sleep(3 * tickInterval)
+	var returned time.Time
+	var mu sync.Mutex
+	defer sendHeartbeats(b, "10.0.0.1:7000/a", first.Epoch(), func() bool {
+		mu.Lock()
+		defer mu.Unlock()
+		// The owner notices the return later than the others do.
+		return !returned.IsZero() && time.Since(returned) > 600*time.Millisecond
+	})()
+	store.SetOutage(true)
+	time.Sleep(2 * leaseTTL)
+	mu.Lock()
+	returned = time.Now()
+	mu.Unlock()
+	store.SetOutage(false)
+	time.Sleep(2 * leaseTTL)
+	_, epoch, isOwner := a.Owner()
+	is.True(isOwner)
+	is.Equal(epoch, first.Epoch())
+}
+
+// If only the owner has lost the store, another process must claim the cell
+// soon, without the delay for an outage.
+func TestClaimsSoonFromOwnerWithoutStore(t *testing.T) {
+	is := is.New(t)
+	store := storage.NewMemory(timers.New())
+	a, b := newElector("10.0.0.1:7000/a", store), newElector("10.0.0.2:7000/b", store)
+	stop := run(a)
+	first := waitAcquired(t, a)
+	defer run(b)()
+	time.Sleep(3 * tickInterval)
+	stop()
+	defer sendHeartbeats(b, "10.0.0.1:7000/a", first.Epoch(), func() bool { return false })()
+	began := time.Now()
+	second := waitAcquired(t, b)
+	is.True(second.Epoch() > first.Epoch())
+	is.True(time.Since(began) < ownerGrace)
+}
--- a/scheduler/commit.go
+++ b/scheduler/commit.go
@@ -9,15 +9,26 @@
 	"chervilhollow/storage"
 )
 
+type (
+	// commitResult is the result of one attempt to store a batch.
+	commitResult struct {
+		version storage.Version
+		err     error
+	}
+)
+
 const (
-	// firstCommitTimeout is the timeout of a batch's first attempt; a store
-	// slowed down 60 times responds after 240 ms. It doubles with each further
-	// attempt, up to maxCommitTimeout.
-	firstCommitTimeout = 300 * time.Millisecond
-	maxCommitTimeout   = 2400 * time.Millisecond
+	// commitRepeatDelay is how long an attempt may have no response before the
+	// batch is sent again, while the earlier attempt goes on. A store slowed
+	// down 60 times responds after 240 ms.
+	commitRepeatDelay = 300 * time.Millisecond
 
-	// minCommitBackoff is the delay before a batch that was not stored is sent
-	// again. It doubles up to maxCommitBackoff.
+	// commitTimeout is the timeout of an attempt. It allows for a store slowed
+	// down 200 times. Up to three attempts of a batch are open at a time.
+	commitTimeout = 900 * time.Millisecond
+
+	// minCommitBackoff is the delay before a batch is sent again after an
+	// attempt that failed. It doubles up to maxCommitBackoff.
 	minCommitBackoff = 40 * time.Millisecond
 	maxCommitBackoff = 160 * time.Millisecond
 
@@ -25,52 +36,85 @@
 	commitLogEvery = 8
 )
 
-// commit sends a batch, with backoff, until it is certain whether the store has
-// it. A conflict that the batch itself didn't cause, or any other permanent
-// error, fails the cell.
+// commit sends a batch until it is certain whether the store has it. An attempt
+// without a response is followed by another one, so that the batch is stored
+// soon after the store responds again. A conflict that the batch itself didn't
+// cause, or any other permanent error, fails the cell.
 func (r *Runner) commit(ctx context.Context, cmd CommitCmd) {
-	uncertain := false
-	delay, timeout := minCommitBackoff, firstCommitTimeout
-	for try := 0; ctx.Err() == nil; try++ {
-		version, err := r.tryCommit(ctx, cmd.batch, timeout)
-		timeout = min(2*timeout, maxCommitTimeout)
-		var conflict *storage.ConflictError
-		switch {
-		case err == nil:
-			r.failingSince.Store(nil)
-			r.deliver(ctx, CommittedMsg{batchID: cmd.batchID, version: version})
-			return
-		case errors.As(err, &conflict):
-			version, err = resolveConflict(cmd.batch, conflict, uncertain)
-			if err != nil {
-				r.fail(err)
-				return
+	// uncertain counts the attempts that may have stored the batch: those
+	// without a response so far, and those that failed in such a way.
+	uncertain := 0
+	results := make(chan commitResult)
+	done := make(chan struct{})
+	defer close(done)
+	attempt := func() {
+		uncertain++
+		r.spawn(func() {
+			version, err := r.tryCommit(ctx, cmd.batch)
+			select {
+			case results <- commitResult{version, err}:
+			case <-done:
 			}
-			r.deliver(ctx, CommittedMsg{batchID: cmd.batchID, version: version})
-			return
-		case errors.Is(err, storage.ErrUncertain):
-			uncertain = true
-		case !errors.Is(err, storage.ErrUnavailable):
-			r.fail(fmt.Errorf("commit: %w", err))
-			return
-		}
-		now := r.clock.Now()
-		r.failingSince.CompareAndSwap(nil, &now)
-		if try%commitLogEvery == 0 {
-			r.log.Warn().Err(err).Int("writes", len(cmd.batch.Writes())).Bool("uncertain", uncertain).
-				Int("try", try+1).Msg("yard: batch not stored yet")
-		}
+		})
+	}
+	attempt()
+	delay, failures := minCommitBackoff, 0
+	next := r.clock.After(commitRepeatDelay)
+	for {
 		select {
-		case <-r.clock.After(delay):
+		case res := <-results:
+			var conflict *storage.ConflictError
+			switch {
+			case errors.As(res.err, &conflict):
+				res.version, res.err = resolveConflict(cmd.batch, conflict, uncertain > 1)
+				if res.err != nil {
+					r.fail(res.err)
+					return
+				}
+			case errors.Is(res.err, storage.ErrUnavailable):
+				uncertain--
+			case res.err != nil && !errors.Is(res.err, storage.ErrUncertain):
+				r.fail(fmt.Errorf("commit: %w", res.err))
+				return
+			}
+			if res.err == nil {
+				r.failingSince.Store(nil)
+				r.deliver(ctx, CommittedMsg{batchID: cmd.batchID, version: res.version})
+				return
+			}
+			r.recordFailing()
+			r.logFailedCommit(cmd, res.err, failures, uncertain)
+			failures++
+			next = r.clock.After(delay)
+			delay = min(2*delay, maxCommitBackoff)
+		case <-next:
+			r.recordFailing()
+			attempt()
+			next = r.clock.After(commitRepeatDelay)
 		case <-ctx.Done():
+			return
 		}
-		delay = min(2*delay, maxCommitBackoff)
+	}
+}
+
+// recordFailing records since when commits fail.
+func (r *Runner) recordFailing() {
+	now := r.clock.Now()
+	r.failingSince.CompareAndSwap(nil, &now)
+}
+
+// logFailedCommit logs the first failure of a batch and every commitLogEvery-th
+// further one.
+func (r *Runner) logFailedCommit(cmd CommitCmd, err error, failures, uncertain int) {
+	if failures%commitLogEvery == 0 {
+		r.log.Warn().Err(err).Int("writes", len(cmd.batch.Writes())).Int("uncertain", uncertain).
+			Int("try", failures+1).Msg("yard: batch not stored yet")
 	}
 }
 
 // tryCommit sends the batch once.
-func (r *Runner) tryCommit(ctx context.Context, batch storage.Batch, timeout time.Duration) (storage.Version, error) {
-	limited, cancel := context.WithTimeout(ctx, timeout)
+func (r *Runner) tryCommit(ctx context.Context, batch storage.Batch) (storage.Version, error) {
+	limited, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
 	return r.store.Commit(limited, batch)
 }
