Count unreported tasks against team limits during recovery

Tasks of earlier owners that may be running on a worker without a report now count. TestNewOwnerCountsUnreportedTasks fails without the change.

--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -43,6 +43,7 @@
 		return
 	}
 	recovered := m.recovered(now)
+	m.unconfirmed = m.unconfirmedUsage(now, recovered)
 	reserved := make(map[order.WorkerID]bool)
 	unplaced := 0
 	pending := m.pendingSteps(now, recovered)
@@ -134,7 +135,34 @@
 // withinTeamLimit reports whether the team's limit allows n more tasks of the
 // size.
 func (m *Scheduler) withinTeamLimit(team order.TeamName, size order.Resources, n int) bool {
-	return m.usage[team].Plus(size.Times(n)).Within(m.config.Limit(team))
+	return m.usage[team].Plus(m.unconfirmed[team]).Plus(size.Times(n)).Within(m.config.Limit(team))
+}
+
+// unconfirmedUsage returns what the teams may have running on workers that have
+// not reported to this owner yet: every task of an earlier owner that could be
+// running and is not known to be. It is nil once the cell is recovered.
+func (m *Scheduler) unconfirmedUsage(now time.Time, recovered bool) map[order.TeamName]order.Resources {
+	if recovered {
+		return nil
+	}
+	usage := make(map[order.TeamName]order.Resources)
+	for _, j := range m.jobs {
+		ended := j.state.Ended()
+		if j.epoch >= m.epoch || j.state == order.JobCompleted || (ended && now.Sub(j.ended) > m.limits.maxLease) {
+			continue
+		}
+		for _, s := range j.steps {
+			if !ended && !s.startable(now) {
+				continue
+			}
+			for _, t := range s.tasks {
+				if t.state == taskWaiting {
+					usage[j.team] = usage[j.team].Plus(s.spec.Size())
+				}
+			}
+		}
+	}
+	return usage
 }
 
 // placeTasks starts the waiting tasks of a step one by one, on workers with a
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -38,6 +38,7 @@
 		workers        map[order.WorkerID]*worker
 		sorted         []*worker
 		usage          map[order.TeamName]order.Resources
+		unconfirmed    map[order.TeamName]order.Resources
 		hosts          map[order.MemberID]*host
 		adviceRequests map[uint64]*adviceRequest
 		lastAdviceCall uint64
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -319,6 +319,41 @@
 	d.is.True(!started) // w2 runs it
 }
 
+// While workers have not reported to a new owner, the tasks that they may run
+// must count against the limits of their teams. New jobs of a team could exceed
+// its limit otherwise.
+func TestNewOwnerCountsUnreportedTasks(t *testing.T) {
+	d := newDriver(t, 2)
+	job := newJob(testJob, testQueue, testTeam, order.JobSpec{}.WithSteps([]order.JobStep{smallStep(2)}), testStart, 1)
+	value, err := job.record().MarshalCBOR()
+	d.is.NoErr(err)
+	d.is.NoErr(d.m.Restore(entries(jobKey(testJob), value)))
+	list, err := order.WorkerList{}.WithWorkers([]order.WorkerRecord{
+		order.WorkerRecord{}.WithID("w1").WithAddress("10.0.1.1:80"),
+		order.WorkerRecord{}.WithID("w2").WithAddress("10.0.1.1:80"),
+	}).MarshalCBOR()
+	d.is.NoErr(err)
+	d.is.NoErr(d.m.RestoreWorkers(entries(WorkersKey, list)[0]))
+	d.configure(policy.Advice{}, order.NewResources(2500, 0, 0))
+	d.feed(NewWorkersMsg([]WorkerInfo{workerInfo("w1", 1), workerInfo("w2", 1)}, nil, true))
+	d.commitAll()
+	d.answerPoll("w1", nil, nil)
+	d.submit(1, smallStep(2))
+	d.commitAll()
+	_, started := d.takeStart()
+	d.is.True(!started) // w2 may run two tasks of the team
+	d.answerPoll("w2", nil, nil)
+	d.advance(time.Second)
+	n := 0
+	for {
+		if _, started = d.takeStart(); !started {
+			break
+		}
+		n++
+	}
+	d.is.Equal(n, 2)
+}
+
 // If the stop of an unconfirmed run has no response either, it must be sent
 // again. The task would wait forever otherwise.
 func TestRetriesStopWithoutAnswer(t *testing.T) {
