--- a/election/elector.go
+++ b/election/elector.go
@@ -73,6 +73,10 @@
 		probedAt      time.Time
 		probesSince   time.Time
 		probeFailedAt time.Time
+
+		// failedCalls counts the reads and renewals that failed since the last
+		// one that succeeded.
+		failedCalls int
 	}
 
 	// Event is a change of the ownership: an AcquiredEvent, a LostEvent or an
@@ -136,10 +140,12 @@
 
 	callTimeout = 800 * time.Millisecond
 
-	// shortCallTimeout is the timeout of reads and renewals while the store
-	// does not answer, so that its return is noticed soon. A store slowed down
-	// 60 times answers after 240 ms.
+	// shortCallTimeout is the timeout of most reads and renewals while the
+	// store does not answer, so that its return is noticed soon. A store slowed
+	// down 60 times answers after 240 ms. One call in longCallEvery has the
+	// timeout callTimeout, in case the store is slower than that.
 	shortCallTimeout = 300 * time.Millisecond
+	longCallEvery    = 8
 	eventBuffer      = 64
 
 	// releaseCooldown is how long a process that released the cell makes no
@@ -400,13 +406,14 @@
 // probe reads the ownership record, to check whether this process reaches the
 // store while the owner does not.
 func (e *Elector) probe(ctx context.Context) {
-	limited, cancel := context.WithTimeout(ctx, shortCallTimeout)
+	limited, cancel := context.WithTimeout(ctx, e.nextCallTimeout())
 	defer cancel()
 	sent := e.clock.Now()
 	_, err := e.store.Get(limited, ownerKey)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.probedAt = sent
+	e.countCall(err)
 	if err != nil {
 		e.probes, e.probeFailedAt = 0, sent
 		return
@@ -418,6 +425,25 @@
 	e.storeAnsweredAt = timers.Later(e.storeAnsweredAt, sent)
 }
 
+// nextCallTimeout returns the timeout of the next read or renewal.
+func (e *Elector) nextCallTimeout() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.failedCalls%longCallEvery == 0 {
+		return callTimeout
+	}
+	return shortCallTimeout
+}
+
+// countCall counts a failed read or renewal. The lock must be held.
+func (e *Elector) countCall(err error) {
+	if err == nil {
+		e.failedCalls = 0
+		return
+	}
+	e.failedCalls++
+}
+
 // mayClaim reports whether the cell has no working owner and this process is
 // free to claim it.
 func (e *Elector) mayClaim() bool {
@@ -544,13 +570,9 @@
 func (e *Elector) renew(ctx context.Context) {
 	e.mu.Lock()
 	lease := e.lease
-	timeout := callTimeout
-	if e.clock.Now().Sub(e.storeAnsweredAt) > 2*renewInterval {
-		timeout = shortCallTimeout
-	}
 	e.mu.Unlock()
 	sent := e.clock.Now()
-	limited, cancel := context.WithTimeout(ctx, timeout)
+	limited, cancel := context.WithTimeout(ctx, e.nextCallTimeout())
 	err := e.store.KeepAlive(limited, lease)
 	cancel()
 	if errors.Is(err, storage.ErrLeaseEnded) {
@@ -558,6 +580,7 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.countCall(err)
 	if err == nil {
 		e.renewedAt = sent
 		e.storeAnsweredAt = timers.Later(e.storeAnsweredAt, sent)
