--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -28,6 +28,10 @@
 	// the owner's other work.
 	maxUnplacedSteps = 48
 
+	// unconfirmedInterval limits how often the tasks that may run on workers
+	// without a report are counted, which visits all jobs.
+	unconfirmedInterval = 100 * time.Millisecond
+
 	// waitLogAfter and waitLogEvery limit the log lines about waiting steps:
 	// none for a step whose job was accepted less than a second ago, then one
 	// for each new reason, then one every 5 s.
@@ -43,7 +47,7 @@
 		return
 	}
 	recovered := m.recovered(now)
-	m.unconfirmed = m.unconfirmedUsage(now, recovered)
+	m.updateUnconfirmed(now, recovered)
 	reserved := make(map[order.WorkerID]bool)
 	unplaced := 0
 	pending := m.pendingSteps(now, recovered)
@@ -138,13 +142,21 @@
 	return m.usage[team].Plus(m.unconfirmed[team]).Plus(size.Times(n)).Within(m.config.Limit(team))
 }
 
-// unconfirmedUsage returns what the teams may have running on workers that have
-// not reported to this owner yet: every task of an earlier owner that could be
-// running and is not known to be. It is nil once the cell is recovered.
-func (m *Scheduler) unconfirmedUsage(now time.Time, recovered bool) map[order.TeamName]order.Resources {
-	if recovered {
-		return nil
+// updateUnconfirmed updates what the teams may have running on workers that have
+// not reported to this owner yet. It is nil once the cell is recovered. Reports
+// only make it smaller, so that an older value is safe.
+func (m *Scheduler) updateUnconfirmed(now time.Time, recovered bool) {
+	switch {
+	case recovered:
+		m.unconfirmed = nil
+	case m.unconfirmed == nil || now.Sub(m.unconfirmedAt) >= unconfirmedInterval:
+		m.unconfirmed, m.unconfirmedAt = m.unconfirmedUsage(now), now
 	}
+}
+
+// unconfirmedUsage sums up every task of an earlier owner that could be running
+// and is not known to be.
+func (m *Scheduler) unconfirmedUsage(now time.Time) map[order.TeamName]order.Resources {
 	usage := make(map[order.TeamName]order.Resources)
 	for _, j := range m.jobs {
 		ended := j.state.Ended()
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -39,6 +39,7 @@
 		sorted         []*worker
 		usage          map[order.TeamName]order.Resources
 		unconfirmed    map[order.TeamName]order.Resources
+		unconfirmedAt  time.Time
 		hosts          map[order.MemberID]*host
 		adviceRequests map[uint64]*adviceRequest
 		lastAdviceCall uint64
