--- a/frontend/handler_test.go
+++ b/frontend/handler_test.go
@@ -169,6 +169,18 @@
 	}
 }
 
+// hasSent reports whether the handler has sent any message.
+func (c *fakeOwners) hasSent(handler *frontend.Handler) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, m := range c.sent {
+		if m.handler == handler {
+			return true
+		}
+	}
+	return false
+}
+
 func (c *fakeOwners) submissions() []order.SubmitMsg {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -614,7 +626,9 @@
 	for _, b := range []*fixture{first, first, second} {
 		go func() { got <- b.submit(validBody) }()
 	}
-	waitFor(t, func() bool { return len(c.submissions()) >= 2 })
+	waitFor(t, func() bool {
+		return first.reg.Counter("counter.joined") == 1 && c.hasSent(first.handler) && c.hasSent(second.handler)
+	})
 	conflict := first.submit(strings.Replace(validBody, "dGFn", "dGFt", 1))
 	is.Equal(conflict.Code, int(order.IDReused))
 	is.Equal(conflict.status, http.StatusConflict)
--- a/frontend/table.go
+++ b/frontend/table.go
@@ -91,6 +91,7 @@
 			return nil, false, true
 		}
 		shared.waiters++
+		t.registry.Count("counter.joined")
 		return shared, false, false
 	}
 	shared = start()
