Reload the settings of an entry host on SIGHUP

SIGHUP was answered with a line that settings cannot be reloaded. The file is now read and checked again; the log level and the memory target change at once, the names of other changed settings are logged, and a file with faults changes nothing.

--- a/cmd/host/main.go
+++ b/cmd/host/main.go
@@ -45,28 +45,53 @@
 		fmt.Println("host: the settings are valid")
 		return
 	}
-	level, err := zerolog.ParseLevel(cfg.LogLevel())
-	if err != nil {
+	runtime.GOMAXPROCS(cfg.Cores())
+	if err := apply(cfg); err != nil {
 		exit(exitBadSettings, err)
 	}
-	runtime.GOMAXPROCS(cfg.Cores())
-	debug.SetMemoryLimit(cfg.MemoryTarget())
 	registry := gauge.New(zerolog.Nop())
 	logWriter := gauge.NewLogWriter(os.Stdout, registry)
-	err = serve(cfg, registry, logWriter.Logger().Level(level))
+	log := logWriter.Logger()
+	err = serve(cfg, registry, log, func() { reload(command, cfg, log) })
 	logWriter.Close()
 	if err != nil {
 		exit(exitFailed, err)
 	}
 }
 
-func serve(s settings.Host, registry *gauge.Registry, log zerolog.Logger) error {
+// apply sets what can change while the process runs.
+func apply(s settings.Host) error {
+	level, err := zerolog.ParseLevel(s.LogLevel())
+	if err != nil {
+		return err
+	}
+	zerolog.SetGlobalLevel(level)
+	debug.SetMemoryLimit(s.MemoryTarget())
+	return nil
+}
+
+// reload reads the settings file again and applies what can change while the
+// process runs. A file with faults changes nothing.
+func reload(command settings.Command, started settings.Host, log zerolog.Logger) {
+	next, err := command.Host()
+	if err == nil {
+		err = apply(next)
+	}
+	if err != nil {
+		log.Error().Err(err).Msg("host: settings not reloaded, the present ones stay in force")
+		return
+	}
+	log.Info().Str("log_level", next.LogLevel()).Int64("memory_target", next.MemoryTarget()).
+		Strs("needs_restart", started.NeedsRestart(next)).Msg("host: settings reloaded")
+}
+
+func serve(s settings.Host, registry *gauge.Registry, log zerolog.Logger, reload func()) error {
 	registry.SetLog(log)
 	limits := scheduler.NewLimits(s.MaxLease(), s.KeepEnded()).WithWriteRate(s.StoreWrites())
 	deps := entryhost.NewDependencies(platform.NewStoreClient(s.StoreAddress(), registry), platform.NewWorkerClient(),
 		platform.NewAdviceClient(s.AdviceAddress()), platform.Decoder{})
 	host := entryhost.New(s.PeerAddress(), s.FailureDomain(), s.PeerSecret(), deps, limits, timers.New(), registry, log,
-		entryhost.WithCores(s.CPULimit()))
+		entryhost.WithCores(s.CPULimit()), entryhost.WithReload(reload))
 	peers, err := net.Listen("tcp", s.PeerListenAddress())
 	if err != nil {
 		return fmt.Errorf("listen for peers on %s: %w", s.PeerListenAddress(), err)
--- a/entryhost/host.go
+++ b/entryhost/host.go
@@ -75,6 +75,9 @@
 		elector   *election.Elector
 		forwarder *Forwarder
 
+		// reload is called on SIGHUP. It may be nil.
+		reload func()
+
 		stop     chan struct{}
 		stopOnce sync.Once
 		wg       sync.WaitGroup
@@ -206,6 +209,11 @@
 	}
 }
 
+// WithReload sets the function that reads the settings again on SIGHUP.
+func WithReload(reload func()) Option {
+	return func(h *Host) { h.reload = reload }
+}
+
 // Call forwards a client's call to the owner of the cell and waits for the
 // reply. The error is ErrNoOwner or ErrNoReply.
 func (h *Host) Call(ctx context.Context, m order.JobCallMsg) (order.JobReplyMsg, error) {
@@ -308,7 +316,9 @@
 			return nil
 		case s := <-signals:
 			if s == syscall.SIGHUP {
-				h.log.Info().Msg("pier: SIGHUP ignored, settings cannot be reloaded")
+				if h.reload != nil {
+					h.reload()
+				}
 				continue
 			}
 			h.log.Info().Str("signal", s.String()).Msg("pier: stopping")
--- a/settings/host.go
+++ b/settings/host.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"os"
+	"reflect"
 	"time"
 
 	"chervilhollow/order"
@@ -111,6 +112,23 @@
 	return Host{raw: fields}, c.Err()
 }
 
+// NeedsRestart returns the names of the settings that differ in next and take
+// effect only when the process starts again. The log level and the memory can
+// change while it runs.
+func (s Host) NeedsRestart(next Host) []string {
+	current := s.raw
+	current.LogLevel = next.raw.LogLevel
+	current.Machine.MemoryMebibytes = next.raw.Machine.MemoryMebibytes
+	var names []string
+	a, b := reflect.ValueOf(current), reflect.ValueOf(next.raw)
+	for i := range a.NumField() {
+		if a.Field(i).Interface() != b.Field(i).Interface() {
+			names = append(names, a.Type().Field(i).Tag.Get("json"))
+		}
+	}
+	return names
+}
+
 // PeerAddress returns the IP address and port that other processes dial.
 func (s Host) PeerAddress() string { return s.raw.PeerAddress }
 
--- a/settings/host_test.go
+++ b/settings/host_test.go
@@ -50,3 +50,18 @@
 	is.True(errors.As(err, &faults))
 	is.Equal(len(faults.Faults()), 1)
 }
+
+// A reload must name the settings that it cannot apply, and no others.
+func TestNeedsRestart(t *testing.T) {
+	is := is.New(t)
+	parse := func(change ...string) Host {
+		s, err := ParseHost("settings.json", []byte(strings.NewReplacer(change...).Replace(renderTemplate(t))))
+		is.NoErr(err)
+		return s
+	}
+	started := parse()
+	is.Equal(started.NeedsRestart(parse()), nil)
+	is.Equal(started.NeedsRestart(parse(`"memory_mebibytes": 284`, `"memory_mebibytes": 200`)), nil)
+	is.Equal(started.NeedsRestart(parse(`"failure_domain": "brisbane-a"`, `"failure_domain": "goldcoast-b"`)), []string{"failure_domain"})
+	is.Equal(started.NeedsRestart(parse(`"cores": 1`, `"cores": 2`)), []string{"machine"})
+}
