Keep headroom for urgent queues on a nearly full service

When less than a twelfth of a service's cores is free, steps of its less urgent queues wait as long as they have more than 1.5 s and a third of their estimated work to spare.

--- a/policy/config.go
+++ b/policy/config.go
@@ -165,6 +165,18 @@
 	return Queue{}, false
 }
 
+// TopPriority returns the priority of the most urgent queue of the service, and
+// zero if it has none.
+func (c *Config) TopPriority(service string) int {
+	top, found := 0, false
+	for _, q := range c.queues {
+		if q.service == service && (!found || q.priority < top) {
+			top, found = q.priority, true
+		}
+	}
+	return top
+}
+
 // TeamOf returns the team of an API key. It reports false for an unknown key.
 func (c *Config) TeamOf(key string) (order.TeamName, bool) {
 	team, ok := c.byKey[key]
--- a/scheduler/gang.go
+++ b/scheduler/gang.go
@@ -30,6 +30,7 @@
 	}
 	for i, task := range s.tasks {
 		m.start(now, task, chosen[i], run)
+		m.headroom.take(p.queue.Service(), s.spec.Size())
 	}
 	m.logPlaced(now, p, len(chosen), len(feasible))
 }
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -52,6 +52,7 @@
 	unplaced := 0
 	pending := m.pendingSteps(now, recovered)
 	m.nextPlacement = now.Add(placeInterval + time.Duration(len(pending))*placeIntervalPerStep)
+	m.headroom = m.measureHeadroom(now)
 	for _, p := range pending {
 		if unplaced == maxUnplacedSteps {
 			m.registry.Count("yard.waits.round")
@@ -70,6 +71,10 @@
 			m.recordWait(now, p, "team_limit", 0)
 			continue
 		}
+		if m.leavesHeadroom(now, p) {
+			m.recordWait(now, p, "headroom", 0)
+			continue
+		}
 		if p.step.spec.Gang() {
 			m.placeGang(now, p, reserved)
 		} else {
@@ -194,12 +199,17 @@
 			m.recordWait(now, p, "team_limit", len(feasible))
 			return
 		}
+		if m.leavesHeadroom(now, p) {
+			m.recordWait(now, p, "headroom", len(feasible))
+			return
+		}
 		w := m.chooseWorker(p, task, ticketed, reserved)
 		if w == nil {
 			ticketless = m.chooseWorker(p, task, feasible, reserved) != nil
 			break
 		}
 		m.start(now, task, w, m.nextRun(task))
+		m.headroom.take(p.queue.Service(), size)
 		started++
 	}
 	switch {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -51,6 +51,9 @@
 		refusals  refusals
 		startedAt time.Time
 
+		// headroom is the free capacity in the present round of placement.
+		headroom headroom
+
 		// firstContacts counts the open polls that are the first of the epoch.
 		firstContacts int
 
