Count the whole gang and later steps against limits during recovery

As soon as one member of a gang had reported, the other members counted no more. Tasks of a step whose predecessor's last end was not stored yet did not count either. Both do now; steps that cannot run beside each other count by their larger one. TestNewOwnerCountsRestOfGang failed first.

--- a/order/resources.go
+++ b/order/resources.go
@@ -20,6 +20,11 @@
 	return NewResources(x.w.Cores*MilliCores(n), x.w.Memory*Bytes(n), x.w.Accelerators*n)
 }
 
+// Max returns the larger amount of each resource.
+func (x Resources) Max(y Resources) Resources {
+	return NewResources(max(x.Cores(), y.Cores()), max(x.Memory(), y.Memory()), max(x.Accelerators(), y.Accelerators()))
+}
+
 // FitsIn reports whether x exceeds y in none of the amounts.
 func (x Resources) FitsIn(y Resources) bool {
 	return x.w.Cores <= y.w.Cores && x.w.Memory <= y.w.Memory && x.w.Accelerators <= y.w.Accelerators
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -159,27 +159,42 @@
 	}
 }
 
-// unconfirmedUsage sums up every task of an earlier owner that could be running
-// and is not known to be.
+// unconfirmedUsage sums up what the tasks of earlier owners may use that could be
+// running and are not known to be.
 func (m *Scheduler) unconfirmedUsage(now time.Time) map[order.TeamName]order.Resources {
 	usage := make(map[order.TeamName]order.Resources)
 	for _, j := range m.jobs {
-		ended := j.state.Ended()
-		if j.epoch >= m.epoch || j.state == order.JobCompleted || (ended && now.Sub(j.ended) > m.limits.maxLease) {
+		if j.epoch >= m.epoch || j.state == order.JobCompleted || (j.state.Ended() && now.Sub(j.ended) > m.limits.maxLease) {
 			continue
 		}
-		for _, s := range j.steps {
-			if !ended && !s.startable(now) {
-				continue
-			}
-			for _, t := range s.tasks {
-				if t.state == taskWaiting {
-					usage[j.team] = usage[j.team].Plus(s.spec.Size())
-				}
+		usage[j.team] = usage[j.team].Plus(j.mostWaiting(now))
+	}
+	return usage
+}
+
+// mostWaiting returns the most that waiting tasks of the job can use at a time.
+// A step may run although the store lacks the last ends of the steps before it,
+// but not beside them.
+func (j *job) mostWaiting(now time.Time) order.Resources {
+	var total order.Resources
+	after := make([]order.Resources, len(j.steps))
+	for i := len(j.steps) - 1; i >= 0; i-- {
+		s := j.steps[i]
+		var waiting order.Resources
+		for _, t := range s.tasks {
+			if t.state == taskWaiting && !s.notBefore().After(now) {
+				waiting = waiting.Plus(s.spec.Size())
 			}
 		}
+		most := waiting.Max(after[i])
+		if before := s.spec.After(); len(before) > 0 {
+			first := i - s.index + before[0]
+			after[first] = after[first].Plus(most)
+			continue
+		}
+		total = total.Plus(most)
 	}
-	return usage
+	return total
 }
 
 // placeTasks starts the waiting tasks of a step one by one, on workers with a
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -354,6 +354,47 @@
 	d.is.Equal(n, 2)
 }
 
+// A part of a gang that has reported must not make the rest uncounted: all its
+// members run.
+func TestNewOwnerCountsRestOfGang(t *testing.T) {
+	d := newDriver(t, 2)
+	job := newJob(testJob, testQueue, testTeam, order.JobSpec{}.WithSteps([]order.JobStep{smallStep(4).WithGang(true)}), testStart, 1)
+	value, err := job.record().MarshalCBOR()
+	d.is.NoErr(err)
+	d.is.NoErr(d.m.Restore(entries(jobKey(testJob), value)))
+	list, err := order.WorkerList{}.WithWorkers([]order.WorkerRecord{
+		order.WorkerRecord{}.WithID("w1").WithAddress("10.0.1.1:80"),
+		order.WorkerRecord{}.WithID("w2").WithAddress("10.0.1.1:80"),
+	}).MarshalCBOR()
+	d.is.NoErr(err)
+	d.is.NoErr(d.m.RestoreWorkers(entries(WorkersKey, list)[0]))
+	d.feed(NewWorkersMsg([]WorkerInfo{workerInfo("w1", 1), workerInfo("w2", 1)}, nil, true))
+	d.configure(policy.Advice{}, order.NewResources(4500, 0, 0))
+	d.commitAll()
+	d.answerPoll("w1", []RunningTask{NewRunningTask(NewTaskRef(testJob, 0, 0, 0), 1, "", 10)}, nil)
+	d.submit(1, smallStep(1))
+	d.commitAll()
+	d.advance(2 * unconfirmedInterval)
+	_, started := d.takeStart()
+	d.is.True(!started) // three more members run on w2
+}
+
+// The store may lack the last end of a step whose successor runs already. The
+// successor's tasks count too, but not beside those of the step.
+func TestMostWaitingCountsSuccessors(t *testing.T) {
+	d := newDriver(t, testEpoch)
+	job := newJob(testJob, testQueue, testTeam, order.JobSpec{}.WithSteps([]order.JobStep{
+		smallStep(2), smallStep(5).WithAfter([]int{0}), smallStep(3).WithAfter([]int{1}),
+	}), testStart, 1)
+	d.is.Equal(job.mostWaiting(d.now).Cores(), smallStep(1).Size().Cores()*5)
+	job.steps[0].tasks[0].state, job.steps[0].done = taskDone, 1
+	d.is.Equal(job.mostWaiting(d.now).Cores(), smallStep(1).Size().Cores()*5)
+	for _, task := range job.steps[1].tasks {
+		task.state = taskDone
+	}
+	d.is.Equal(job.mostWaiting(d.now).Cores(), smallStep(1).Size().Cores()*3)
+}
+
 // If the stop of an unconfirmed run has no response either, it must be sent
 // again. The task would wait forever otherwise.
 func TestRetriesStopWithoutAnswer(t *testing.T) {
