Bound unreported tasks by the capacity of unreported workers

The tasks that may run unreported fit on the workers without a report, so a team counts no more than their capacity.

--- a/order/resources.go
+++ b/order/resources.go
@@ -20,6 +20,11 @@
 	return NewResources(x.w.Cores*MilliCores(n), x.w.Memory*Bytes(n), x.w.Accelerators*n)
 }
 
+// Min returns the smaller amount of each resource.
+func (x Resources) Min(y Resources) Resources {
+	return NewResources(min(x.Cores(), y.Cores()), min(x.Memory(), y.Memory()), min(x.Accelerators(), y.Accelerators()))
+}
+
 // Max returns the larger amount of each resource.
 func (x Resources) Max(y Resources) Resources {
 	return NewResources(max(x.Cores(), y.Cores()), max(x.Memory(), y.Memory()), max(x.Accelerators(), y.Accelerators()))
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -160,7 +160,8 @@
 }
 
 // unconfirmedUsage sums up what the tasks of earlier owners may use that could be
-// running and are not known to be.
+// running and are not known to be. They run on workers without a report, so a
+// team uses no more than these have.
 func (m *Scheduler) unconfirmedUsage(now time.Time) map[order.TeamName]order.Resources {
 	usage := make(map[order.TeamName]order.Resources)
 	for _, j := range m.jobs {
@@ -169,9 +170,33 @@
 		}
 		usage[j.team] = usage[j.team].Plus(j.mostWaiting(now))
 	}
+	bound := m.unreportedCapacity(now)
+	for team, u := range usage {
+		usage[team] = u.Min(bound)
+	}
 	return usage
 }
 
+// unreportedCapacity returns the capacity of the workers that have not reported
+// to this owner and may hold a lease of an earlier one. A worker that is no
+// longer listed counts as large as the largest one.
+func (m *Scheduler) unreportedCapacity(now time.Time) order.Resources {
+	var largest, total order.Resources
+	for _, w := range m.workers {
+		largest = largest.Max(w.info.capacity)
+	}
+	for _, w := range m.workers {
+		switch {
+		case w.contacted || !now.Before(w.leaseEnd):
+		case w.info.capacity == order.Resources{}:
+			total = total.Plus(largest)
+		default:
+			total = total.Plus(w.info.capacity)
+		}
+	}
+	return total
+}
+
 // mostWaiting returns the most that waiting tasks of the job can use at a time.
 // A step may run although the store lacks the last ends of the steps before it,
 // but not beside them.
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -379,6 +379,29 @@
 	d.is.True(!started) // three more members run on w2
 }
 
+// One worker that does not report must not keep a team from its whole limit: no
+// more tasks can run there than it has capacity for.
+func TestUnreportedTasksAreBoundedByCapacity(t *testing.T) {
+	d := newDriver(t, 2)
+	job := newJob(testJob, testQueue, testTeam, order.JobSpec{}.WithSteps([]order.JobStep{smallStep(100)}), testStart, 1)
+	value, err := job.record().MarshalCBOR()
+	d.is.NoErr(err)
+	d.is.NoErr(d.m.Restore(entries(jobKey(testJob), value)))
+	list, err := order.WorkerList{}.WithWorkers([]order.WorkerRecord{
+		order.WorkerRecord{}.WithID("w1").WithAddress("10.0.1.1:80"),
+		order.WorkerRecord{}.WithID("gone").WithAddress("10.0.1.1:80"),
+	}).MarshalCBOR()
+	d.is.NoErr(err)
+	d.is.NoErr(d.m.RestoreWorkers(entries(WorkersKey, list)[0]))
+	d.feed(NewWorkersMsg([]WorkerInfo{workerInfo("w1", 1)}, nil, false))
+	d.configure(policy.Advice{}, order.NewResources(11000, 0, 0))
+	d.commitAll()
+	d.answerPoll("w1", nil, nil)
+	d.submit(1, smallStep(8))
+	d.commitAll()
+	d.is.Equal(d.startedOf(jobID(1)), 3) // the limit less the 8 cores of one worker
+}
+
 // The store may lack the last end of a step whose successor runs already. The
 // successor's tasks count too, but not beside those of the step.
 func TestMostWaitingCountsSuccessors(t *testing.T) {
