--- a/scheduler/journal.go
+++ b/scheduler/journal.go
@@ -44,10 +44,15 @@
 	// JobPrefix is the prefix of the keys of the jobs in the store.
 	JobPrefix = "job/"
 
-	// maxInFlight is how many batches may be in flight. Two are enough while
-	// the store responds after 4 ms; with 16, a store slowed down 60 times
-	// still takes 900 job changes a second.
-	maxInFlight = 16
+	// minInFlight and maxInFlight bound how many batches may be in flight. Two
+	// are enough while the store responds after 4 ms; with 16, a store slowed
+	// down 60 times still takes 900 job changes a second.
+	minInFlight = 16
+	maxInFlight = 64
+
+	// slowStoreResponse is how long a response may take while the store still
+	// has to take batches at the rate of full ones.
+	slowStoreResponse = 250 * time.Millisecond
 
 	// flushInterval limits batches that are not full to 50 a second, so that
 	// each collects the changes of some time.
@@ -100,7 +105,7 @@
 
 // flush sends the waiting changes, as far as the limits on batches allow.
 func (m *Scheduler) flush(now time.Time) {
-	for len(m.journal.inFlight) < maxInFlight && now.Sub(m.journal.lastFlush) >= m.flushDelay() {
+	for len(m.journal.inFlight) < m.inFlightLimit() && now.Sub(m.journal.lastFlush) >= m.flushDelay() {
 		batch, f := m.nextBatch()
 		if len(batch.Writes())+len(batch.Deletes()) == 0 {
 			return
@@ -114,6 +119,13 @@
 	}
 }
 
+// inFlightLimit returns how many batches may be in flight, by the store's write
+// rate.
+func (m *Scheduler) inFlightLimit() int {
+	rate := m.limits.writesPerSecond / writeRateDivisor
+	return max(minInFlight, min(maxInFlight, int(rate*slowStoreResponse.Seconds())))
+}
+
 // flushDelay returns the least delay between two batches. Full batches may
 // follow sooner than others, at the store's write rate.
 func (m *Scheduler) flushDelay() time.Duration {
--- a/scheduler/refusal_test.go
+++ b/scheduler/refusal_test.go
@@ -40,7 +40,8 @@
 	d := newDriver(t, testEpoch)
 	d.configure(policy.Advice{}, order.Resources{})
 	d.addWorkers("w1")
-	last := 2 * maxInFlight // a batch is sent for every other job
+	d.m.limits = d.m.limits.WithWriteRate(0) // the fewest batches in flight
+	last := 2 * minInFlight                  // a batch is sent for every other job
 	for i := range last + 1 {
 		d.submit(i, smallStep(1))
 	}
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -262,6 +262,36 @@
 	}
 }
 
+// While the store takes 240 ms for a call, a large cell must still store as many
+// changes as its jobs cause, some two thousand a second.
+func TestStoresManyChangesWhileStoreIsSlow(t *testing.T) {
+	d := newDriver(t, testEpoch)
+	d.m.limits = d.m.limits.WithWriteRate(3200)
+	d.configure(policy.Advice{}, order.Resources{})
+	d.addWorkers("w1")
+	d.markManyDirty(600)
+	type sent struct {
+		id int
+		at time.Time
+	}
+	var open []sent
+	stored := 0
+	for end := d.now.Add(500 * time.Millisecond); d.now.Before(end); {
+		d.now = d.now.Add(5 * time.Millisecond)
+		d.decide()
+		for c, ok := d.takeCommit(); ok; c, ok = d.takeCommit() {
+			open = append(open, sent{c.batchID, d.now})
+			stored += len(c.batch.Writes())
+		}
+		for len(open) > 0 && d.now.Sub(open[0].at) >= 240*time.Millisecond {
+			d.version++
+			d.m.Handle(d.now, CommittedMsg{batchID: open[0].id, version: d.version})
+			open = open[1:]
+		}
+	}
+	d.is.True(stored >= 600)
+}
+
 // A long-running task that is restarted late in the life of its job must not
 // rank behind all others as overdue.
 func TestRestartsLastingTasksFirst(t *testing.T) {
