Do not wait for workers that left before the takeover

Cause: the stored list of workers was written only when workers came. The list now follows removals; an unlisted worker at whose address another one answers has ended; and what may run unreported is bounded by service. TestRecoversDespiteWorkersThatLeft failed first.

--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -163,31 +163,44 @@
 // running and are not known to be. They run on workers without a report, so a
 // team uses no more than these have.
 func (m *Scheduler) unconfirmedUsage(now time.Time) map[order.TeamName]order.Resources {
-	usage := make(map[order.TeamName]order.Resources)
+	type share struct {
+		team    order.TeamName
+		service string
+	}
+	most := make(map[share]order.Resources)
 	for _, j := range m.jobs {
 		if j.epoch >= m.epoch || j.state == order.JobCompleted || (j.state.Ended() && now.Sub(j.ended) > m.limits.maxLease) {
 			continue
 		}
-		usage[j.team] = usage[j.team].Plus(j.mostWaiting(now))
+		key := share{team: j.team}
+		if q, ok := m.config.Queue(j.queue); ok {
+			key.service = q.Service()
+		}
+		most[key] = most[key].Plus(j.mostWaiting(now))
 	}
-	bound := m.unreportedCapacity(now)
-	for team, u := range usage {
-		usage[team] = u.Min(bound)
+	usage := make(map[order.TeamName]order.Resources)
+	for key, u := range most {
+		if key.service != "" {
+			u = u.Min(m.unreportedCapacity(now, key.service))
+		}
+		usage[key.team] = usage[key.team].Plus(u)
 	}
 	return usage
 }
 
-// unreportedCapacity returns the capacity of the workers that have not reported
-// to this owner and may hold a lease of an earlier one. A worker that is no
-// longer listed counts as large as the largest one.
-func (m *Scheduler) unreportedCapacity(now time.Time) order.Resources {
+// unreportedCapacity returns the capacity of the service's workers that have not
+// reported to this owner and may hold a lease of an earlier one. A worker that
+// is no longer listed counts as large as the largest one.
+func (m *Scheduler) unreportedCapacity(now time.Time, service string) order.Resources {
 	var largest, total order.Resources
 	for _, w := range m.workers {
-		largest = largest.Max(w.info.capacity)
+		if w.info.service == service {
+			largest = largest.Max(w.info.capacity)
+		}
 	}
 	for _, w := range m.workers {
 		switch {
-		case w.contacted || !now.Before(w.leaseEnd):
+		case w.info.service != service || w.contacted || !now.Before(w.leaseEnd):
 		case w.info.capacity == order.Resources{}:
 			total = total.Plus(largest)
 		default:
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -359,9 +359,12 @@
 	m.sorted = nil
 }
 
+// removeWorker removes a worker that can have no more runs. The stored list
+// follows, as a later owner would wait for the worker's report otherwise.
 func (m *Scheduler) removeWorker(w *worker) {
 	delete(m.workers, w.id)
 	m.sorted = nil
+	m.journal.workersDirty = true
 }
 
 // sortedWorkers returns the workers ordered by ID, which makes runs repeatable.
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -419,7 +419,7 @@
 	d.is.NoErr(d.m.Restore(entries(jobKey(testJob), value)))
 	list, err := order.WorkerList{}.WithWorkers([]order.WorkerRecord{
 		order.WorkerRecord{}.WithID("w1").WithAddress("10.0.1.1:80"),
-		order.WorkerRecord{}.WithID("gone").WithAddress("10.0.1.1:80"),
+		order.WorkerRecord{}.WithID("gone").WithAddress("10.0.1.1:80").WithService("press"),
 	}).MarshalCBOR()
 	d.is.NoErr(err)
 	d.is.NoErr(d.m.RestoreWorkers(entries(WorkersKey, list)[0]))
@@ -432,6 +432,41 @@
 	d.is.Equal(d.startedOf(jobID(1)), 3) // the limit less the 8 cores of one worker
 }
 
+// A worker that left must not delay the tasks of earlier owners: neither if it
+// was removed long ago, nor if another worker answers at its address.
+func TestRecoversDespiteWorkersThatLeft(t *testing.T) {
+	d := newDriver(t, 2)
+	job := newJob(testJob, testQueue, testTeam, order.JobSpec{}.WithSteps([]order.JobStep{smallStep(1)}), testStart, 1)
+	value, err := job.record().MarshalCBOR()
+	d.is.NoErr(err)
+	d.is.NoErr(d.m.Restore(entries(jobKey(testJob), value)))
+	list, err := order.WorkerList{}.WithWorkers([]order.WorkerRecord{
+		order.WorkerRecord{}.WithID("w1").WithAddress("10.0.1.1:80").WithService("press"),
+		order.WorkerRecord{}.WithID("gone").WithAddress("10.0.1.2:80").WithService("press"),
+	}).MarshalCBOR()
+	d.is.NoErr(err)
+	d.is.NoErr(d.m.RestoreWorkers(entries(WorkersKey, list)[0]))
+	d.feed(NewWorkersMsg([]WorkerInfo{workerInfo("w1", 1)}, nil, true))
+	d.configure(policy.Advice{}, order.Resources{})
+	d.commitAll()
+	d.answerPoll("w1", nil, nil)
+	d.is.Equal(d.startedOf(testJob), 0)
+	for {
+		poll, ok := d.takePoll()
+		d.is.True(ok)
+		if poll.order.to.worker == "gone" {
+			d.feed(PolledMsg{order: poll.order, sentAt: d.now, err: NewRefusedError(RefusedIncarnation, 0)})
+			break
+		}
+	}
+	d.advance(100 * time.Millisecond)
+	d.is.Equal(d.startedOf(testJob), 1)
+	for _, w := range d.m.sortedWorkers() {
+		d.is.Equal(w.id, order.WorkerID("w1"))
+	}
+	d.is.True(d.m.journal.workersDirty || d.m.journal.workersInFlight) // the stored list follows
+}
+
 // The store may lack the last end of a step whose successor runs already. The
 // successor's tasks count too, but not beside those of the step.
 func TestMostWaitingCountsSuccessors(t *testing.T) {
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -336,6 +336,11 @@
 	w.missedCalls++
 	w.connRefused = errors.Is(err, ErrNotSent)
 	w.nextPollAt = now.Add(pollRetryDelay)
+	var refused *RefusedError
+	if !w.listed && errors.As(err, &refused) && refused.reason == RefusedIncarnation {
+		// Another worker has the address, so this one and its runs have ended.
+		w.leaseEnd = now
+	}
 	if w.missedCalls == 1 {
 		m.registry.Count("yard.workers.lost_contact")
 		m.log.Warn().Err(err).Str("worker", string(w.id)).Int("runs", len(w.attempts)).Msg("yard: worker not reached")
