Always forward calls to an owner in the same process

It had dialled the address of its earlier run, which is its own, and the end of that short link counted as the loss of itself. A late report of an earlier owner, from the watch of the store, is ignored now as well. Both tests fail without the change.

--- a/entryhost/cell.go
+++ b/entryhost/cell.go
@@ -48,7 +48,7 @@
 	if e.Member() == "" {
 		return
 	}
-	h.forwarder.SetOwner(e.Member())
+	h.forwarder.SetOwner(e.Member(), e.Epoch())
 	if e.Member() != h.self {
 		h.node.Connect(e.Member())
 	}
--- a/entryhost/forwarder.go
+++ b/entryhost/forwarder.go
@@ -25,6 +25,7 @@
 
 		mu       sync.Mutex
 		owner    order.MemberID
+		epoch    order.Epoch
 		linked   map[order.MemberID]bool
 		lastCall uint64
 		pending  map[uint64]*pendingCall
@@ -148,24 +149,29 @@
 	p.attempts++
 }
 
-// SetOwner sets the owner of the cell. If it has changed, all pending calls
-// are sent to the new one.
-func (f *Forwarder) SetOwner(owner order.MemberID) {
+// SetOwner sets the owner of the cell with its epoch. If it has changed, all
+// pending calls are sent to the new one. An earlier owner is ignored: the watch
+// of the store and a claim of this process report owners independently.
+func (f *Forwarder) SetOwner(owner order.MemberID, epoch order.Epoch) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.owner == owner {
+	if f.owner == owner || epoch < f.epoch {
 		return
 	}
-	f.owner = owner
+	f.owner, f.epoch = owner, epoch
 	f.sendPending()
 }
 
 // SetLink records that the link to another host was opened or lost. A call is
 // only sent over an open link, so that one that waits has certainly had no
-// effect.
+// effect. The process always reaches itself; it has short links to itself when
+// it dials the address of its earlier run.
 func (f *Forwarder) SetLink(peer order.MemberID, up bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if peer == f.self {
+		return
+	}
 	if !up {
 		delete(f.linked, peer)
 		return
--- a/entryhost/forwarder_test.go
+++ b/entryhost/forwarder_test.go
@@ -67,7 +67,7 @@
 	is.True(errors.Is(<-errs, ErrNoOwner))
 	r := newRecorder()
 	f = newForwarder(r)
-	f.SetOwner(ownerA)
+	f.SetOwner(ownerA, 1)
 	_, errs = startCall(f, 100*time.Millisecond)
 	is.True(errors.Is(<-errs, ErrNoOwner)) // no link to the owner yet
 	f.SetLink(ownerA, true)
@@ -83,12 +83,12 @@
 	is := is.New(t)
 	r := newRecorder()
 	f := newForwarder(r)
-	f.SetOwner(ownerA)
+	f.SetOwner(ownerA, 1)
 	f.SetLink(ownerA, true)
 	f.SetLink(ownerB, true)
 	replies, _ := startCall(f, 5*time.Second)
 	first := <-r.sent
-	f.SetOwner(ownerB)
+	f.SetOwner(ownerB, 2)
 	second := <-r.sent
 	is.Equal(second.to, ownerB)
 	is.Equal(second.msg.Call(), first.msg.Call())
@@ -104,7 +104,7 @@
 	is := is.New(t)
 	r := newRecorder()
 	f := newForwarder(r)
-	f.SetOwner(ownerA)
+	f.SetOwner(ownerA, 1)
 	f.SetLink(ownerA, true)
 	_, errs := startCall(f, time.Minute)
 	<-r.sent
@@ -139,7 +139,7 @@
 	is := is.New(t)
 	f := newForwarder(newRecorder())
 	tick(t, f)
-	f.SetOwner(ownerA)
+	f.SetOwner(ownerA, 1)
 	began := time.Now()
 	_, errs := startCall(f, 10*time.Second)
 	is.True(errors.Is(<-errs, ErrNoOwner))
@@ -153,7 +153,7 @@
 	r := newRecorder()
 	f := newForwarder(r)
 	tick(t, f)
-	f.SetOwner(ownerA)
+	f.SetOwner(ownerA, 1)
 	f.SetLink(ownerA, true)
 	began := time.Now()
 	_, errs := startCall(f, 10*time.Second)
@@ -169,7 +169,7 @@
 	is := is.New(t)
 	r := newRecorder()
 	f := newForwarder(r)
-	f.SetOwner(ownerB)
+	f.SetOwner(ownerB, 2)
 	replies, _ := startCall(f, 5*time.Second)
 	time.Sleep(10 * time.Millisecond)
 	is.Equal(len(r.sent), 0)
@@ -178,3 +178,32 @@
 	f.HandleReply(ownerB, order.JobReplyMsg{}.WithCall(sent.msg.Call()).WithCode(order.Done))
 	is.Equal((<-replies).Code(), order.Done)
 }
+
+// A late report of an earlier owner must not send calls to it. After a restart
+// the former owner is an earlier run of this process, and no later report would
+// correct it.
+func TestIgnoresLateReportOfEarlierOwner(t *testing.T) {
+	is := is.New(t)
+	r := newRecorder()
+	f := newForwarder(r)
+	f.SetLink(ownerA, true)
+	f.SetLink(ownerB, true)
+	f.SetOwner(ownerB, 2)
+	f.SetOwner(ownerA, 1)
+	_, _ = startCall(f, 100*time.Millisecond)
+	is.Equal((<-r.sent).to, ownerB)
+}
+
+// After a restart a process dials the address of its earlier run and so has a
+// short link to itself. Its end must not keep the calls from an owner in this
+// process.
+func TestAlwaysReachesItself(t *testing.T) {
+	is := is.New(t)
+	r := newRecorder()
+	f := newForwarder(r)
+	f.SetOwner(f.self, 2)
+	f.SetLink(f.self, true)
+	f.SetLink(f.self, false)
+	_, _ = startCall(f, 100*time.Millisecond)
+	is.Equal((<-r.sent).to, f.self)
+}
