Let best-effort steps leave hosts to other steps' advice requests

Steps that waited for room also renewed tickets that nobody could use, which kept the hosts busy.

A best-effort step without a free host is skipped for 250 ms like one without capacity, and renews only tickets of workers with room. TestShortAdviceBehindManyLongRequests fails without the change.

--- a/scheduler/advice_plan.go
+++ b/scheduler/advice_plan.go
@@ -127,6 +127,10 @@
 			expiring = append(expiring, w)
 		}
 	}
+	if p.rank == rankBestEffort {
+		// Tickets that would expire unused take the hosts from other steps.
+		expiring = slices.DeleteFunc(expiring, func(w *worker) bool { return w.room(s) == 0 })
+	}
 	slices.SortStableFunc(expiring, func(a, b *worker) int { return cmp.Compare(b.free, a.free) })
 	for _, w := range expiring {
 		if need <= 0 {
@@ -151,6 +155,9 @@
 	}
 	m.adviceOffset = (m.adviceOffset + adviceStride) % len(all)
 	for _, wantRoom := range []bool{true, false} {
+		if !wantRoom && p.rank == rankBestEffort && p.step.tickets != nil {
+			break
+		}
 		for i := range all {
 			if need <= 0 && len(list) >= minAdviceWorkers {
 				return list
--- a/scheduler/advice_test.go
+++ b/scheduler/advice_test.go
@@ -157,3 +157,34 @@
 	d.advance(2 * advicePlanInterval)
 	d.is.Equal(len(d.takeAdviceRequests()), 1)
 }
+
+// Many best-effort steps that wait for long advice requests must not keep the
+// steps behind them from their short ones.
+func TestShortAdviceBehindManyLongRequests(t *testing.T) {
+	d := newAdviceDriver(t, slowAdvice, 7, 40)
+	team := policy.NewTeam(testTeam, []string{testKey}, 0.001, order.Resources{})
+	d.feed(NewConfigMsg(policy.NewConfig(2, []policy.Queue{
+		policy.NewQueue(testQueue, testHost, "/proofs/", "press").WithPriority(1).WithObjective(2, time.Second).WithAdvice(slowAdvice),
+		policy.NewQueue(urgentQueue, testHost, urgentPath, "press").WithPriority(2).WithObjective(2, time.Second).WithAdvice(testAdvice),
+	}, []policy.Team{team}), nil))
+	for i := range 4 * maxUnplacedSteps {
+		d.submit(i, smallStep(1))
+		if i%10 == 0 {
+			d.commitAll()
+		}
+	}
+	d.commitAll()
+	d.submitTo(urgentPath, 1000, smallStep(1))
+	last := jobID(1000)
+	for range 100 {
+		d.advance(20 * time.Millisecond)
+		for _, c := range d.commands {
+			if s, ok := c.(SendCmd); ok {
+				if q, ok := s.msg.(order.AdviceRequestMsg); ok && q.Job() == last {
+					return
+				}
+			}
+		}
+	}
+	t.Fatal("no advice was requested for the last job")
+}
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -9,7 +9,7 @@
 
 const (
 	// bestEffortRetryDelay is how long a best-effort step that found no
-	// capacity is skipped. Jobs that can never run would otherwise take up
+	// capacity, or no host for its advice request, is skipped. Jobs that can never run would otherwise take up
 	// every round and starve those behind them.
 	bestEffortRetryDelay = 250 * time.Millisecond
 
@@ -64,6 +64,7 @@
 		if p.queue.Advice().Needed() && p.step.tickets == nil {
 			if !m.advise(now, p) {
 				unplaced++
+				p.step.retryAt = now.Add(bestEffortRetryDelay)
 			}
 			continue
 		}
