--- /dev/null
+++ b/scheduler/unconfirmed.go
@@ -0,0 +1,99 @@
+package scheduler
+
+import (
+	"time"
+
+	"chervilhollow/order"
+)
+
+// unconfirmedInterval limits how often the tasks that may run on workers without
+// a report are counted, which visits all jobs.
+const unconfirmedInterval = 100 * time.Millisecond
+
+// updateUnconfirmed updates what the teams may have running on workers that have
+// not reported to this owner yet. It is nil once the cell is recovered. Reports
+// only make it smaller, so that an older value is safe.
+func (m *Scheduler) updateUnconfirmed(now time.Time, recovered bool) {
+	switch {
+	case recovered:
+		m.unconfirmed = nil
+	case m.unconfirmed == nil || now.Sub(m.unconfirmedAt) >= unconfirmedInterval:
+		m.unconfirmed, m.unconfirmedAt = m.unconfirmedUsage(now), now
+	}
+}
+
+// unconfirmedUsage sums up what the tasks of earlier owners may use that could be
+// running and are not known to be. They run on workers without a report, so a
+// team uses no more than these have.
+func (m *Scheduler) unconfirmedUsage(now time.Time) map[order.TeamName]order.Resources {
+	type share struct {
+		team    order.TeamName
+		service string
+	}
+	most := make(map[share]order.Resources)
+	for _, j := range m.jobs {
+		if j.epoch >= m.epoch || j.state == order.JobCompleted || (j.state.Ended() && now.Sub(j.ended) > m.limits.maxLease) {
+			continue
+		}
+		key := share{team: j.team}
+		if q, ok := m.config.Queue(j.queue); ok {
+			key.service = q.Service()
+		}
+		most[key] = most[key].Plus(j.mostWaiting(now))
+	}
+	usage := make(map[order.TeamName]order.Resources)
+	for key, u := range most {
+		if key.service != "" {
+			u = u.Min(m.unreportedCapacity(now, key.service))
+		}
+		usage[key.team] = usage[key.team].Plus(u)
+	}
+	return usage
+}
+
+// unreportedCapacity returns the capacity of the service's workers that have not
+// reported to this owner and may hold a lease of an earlier one. A worker that
+// is no longer listed counts as large as the largest one.
+func (m *Scheduler) unreportedCapacity(now time.Time, service string) order.Resources {
+	var largest, total order.Resources
+	for _, w := range m.workers {
+		if w.info.service == service {
+			largest = largest.Max(w.info.capacity)
+		}
+	}
+	for _, w := range m.workers {
+		switch {
+		case w.info.service != service || w.contacted || !now.Before(w.leaseEnd):
+		case w.info.capacity == order.Resources{}:
+			total = total.Plus(largest)
+		default:
+			total = total.Plus(w.info.capacity)
+		}
+	}
+	return total
+}
+
+// mostWaiting returns the most that waiting tasks of the job can use at a time.
+// A step may run although the store lacks the last ends of the steps before it,
+// but not beside them.
+func (j *job) mostWaiting(now time.Time) order.Resources {
+	var total order.Resources
+	after := make([]order.Resources, len(j.steps))
+	for i := len(j.steps) - 1; i >= 0; i-- {
+		s := j.steps[i]
+		var waiting order.Resources
+		for _, t := range s.tasks {
+			if t.state == taskWaiting && !s.notBefore().After(now) {
+				waiting = waiting.Plus(s.spec.Size())
+			}
+		}
+		most := waiting.Max(after[i])
+		if before := s.spec.After(); len(before) > 0 {
+			first := i - s.index + before[0]
+			after[first] = after[first].Plus(most)
+			continue
+		}
+		total = total.Plus(most)
+	}
+	return total
+}
