--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -57,33 +57,35 @@
 		if p.rank == rankBestEffort && now.Before(p.step.retryAt) {
 			continue
 		}
-		if p.queue.Advice().Needed() && p.step.tickets == nil {
-			if !m.advise(now, p) {
-				unplaced++
-				p.step.retryAt = now.Add(bestEffortRetryDelay)
-			}
-			continue
-		}
-		if !m.withinTeamLimit(p.step.job.team, p.step.spec.Size(), p.step.tasksAtOnce()) {
-			m.recordWait(now, p, "team_limit", 0)
-			continue
-		}
-		if m.leavesHeadroom(now, p) {
-			m.recordWait(now, p, "headroom", 0)
-			continue
-		}
-		if p.step.spec.Gang() {
-			m.placeGang(now, p, reserved)
-		} else {
-			m.placeTasks(now, p, reserved)
-		}
-		if p.step.startable(now) {
+		if !m.placeStep(now, p, reserved) {
 			unplaced++
 			p.step.retryAt = now.Add(bestEffortRetryDelay)
 		}
 	}
 }
 
+// placeStep starts the tasks of a step, or requests the advice that it needs
+// first. It returns false if the step found no capacity for all of them, or no
+// host for its first request. A step that has to wait for other reasons does
+// not count as such.
+func (m *Scheduler) placeStep(now time.Time, p pendingStep, reserved map[order.WorkerID]bool) bool {
+	switch {
+	case p.queue.Advice().Needed() && p.step.tickets == nil:
+		return m.advise(now, p)
+	case !m.withinTeamLimit(p.step.job.team, p.step.spec.Size(), p.step.tasksAtOnce()):
+		m.recordWait(now, p, "team_limit", 0)
+		return true
+	case m.leavesHeadroom(now, p):
+		m.recordWait(now, p, "headroom", 0)
+		return true
+	case p.step.spec.Gang():
+		m.placeGang(now, p, reserved)
+	default:
+		m.placeTasks(now, p, reserved)
+	}
+	return !p.step.startable(now)
+}
+
 // schedulable reports whether the worker may get new tasks of the service.
 func (m *Scheduler) schedulable(now time.Time, w *worker, service string) bool {
 	return w.listed && w.persisted && w.contacted && !w.draining && w.missedCalls == 0 && !w.unresponsive && w.unknownSizes == 0 &&
