Search the host of an advice request once, and bound services once

Found in the last read of the change: the least busy host was searched twice for each request, and the capacity of workers without a report was summed up for each team instead of each service. TestNewOwnerWaitsForAllWorkers uses newSuccessor; its assertions are the same, and its answers now belong to polls of the listed workers. Behaviour is the same.

--- a/scheduler/advice.go
+++ b/scheduler/advice.go
@@ -86,24 +86,24 @@
 // workers.
 func isLong(q policy.Queue, workers int) bool { return q.Advice().Duration(workers) > shortRequestTime }
 
-// adviceHostFree reports whether a host may send a request about so many
-// workers now.
-func (m *Scheduler) adviceHostFree(now time.Time, q policy.Queue, workers int) bool {
+// adviceHost returns the host that may send a request about so many workers now.
+// It returns false while the hosts are busy.
+func (m *Scheduler) adviceHost(now time.Time, q policy.Queue, workers int) (order.MemberID, bool) {
 	name := m.leastBusyHost(now)
 	if m.hosts[name].busyUntil.Sub(now) > maxAdviceBacklog || (isLong(q, workers) && m.busyHosts(now) >= m.maxBusyHosts()) {
 		m.registry.Count("yard.waits.advice")
-		return false
+		return "", false
 	}
-	return true
+	return name, true
 }
 
 // requestAdvice has an entry host request from the advice service which of the
 // workers may run the step. It returns false if no host is free.
 func (m *Scheduler) requestAdvice(now time.Time, s *step, q policy.Queue, workers []order.WorkerID) bool {
-	if !m.adviceHostFree(now, q, len(workers)) {
+	name, ok := m.adviceHost(now, q, len(workers))
+	if !ok {
 		return false
 	}
-	name := m.leastBusyHost(now)
 	h := m.hosts[name]
 	h.busyUntil = timers.Later(h.busyUntil, now).Add(q.Advice().Duration(len(workers)))
 	m.lastAdviceCall++
--- a/scheduler/advice_plan.go
+++ b/scheduler/advice_plan.go
@@ -72,7 +72,7 @@
 	if now.Before(s.advisePlanAt) {
 		return true
 	}
-	if !m.adviceHostFree(now, p.queue, 1) {
+	if _, ok := m.adviceHost(now, p.queue, 1); !ok {
 		return false
 	}
 	s.advisePlanAt = now.Add(advicePlanInterval)
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -325,20 +325,7 @@
 // A new owner must not start a task of an earlier one while a worker that has
 // not reported yet may run it.
 func TestNewOwnerWaitsForAllWorkers(t *testing.T) {
-	d := newDriver(t, 2)
-	job := newJob(testJob, testQueue, testTeam, order.JobSpec{}.WithSteps([]order.JobStep{smallStep(1)}), testStart, 1)
-	value, err := job.record().MarshalCBOR()
-	d.is.NoErr(err)
-	d.is.NoErr(d.m.Restore(entries(jobKey(testJob), value)))
-	list, err := order.WorkerList{}.WithWorkers([]order.WorkerRecord{
-		order.WorkerRecord{}.WithID("w1").WithAddress("10.0.1.1:80"),
-		order.WorkerRecord{}.WithID("w2").WithAddress("10.0.1.1:80"),
-	}).MarshalCBOR()
-	d.is.NoErr(err)
-	d.is.NoErr(d.m.RestoreWorkers(entries(WorkersKey, list)[0]))
-	d.configure(policy.Advice{}, order.Resources{})
-	d.feed(NewWorkersMsg([]WorkerInfo{workerInfo("w1", 1), workerInfo("w2", 1)}, nil, true))
-	d.commitAll()
+	d := newSuccessor(t, order.Resources{}, []order.JobStep{smallStep(1)}, []order.WorkerID{"w1", "w2"}, "w1", "w2")
 	d.answerPoll("w1", nil, nil)
 	d.advance(5 * time.Second)
 	_, started := d.takeStart()
--- a/scheduler/unconfirmed.go
+++ b/scheduler/unconfirmed.go
@@ -42,9 +42,15 @@
 		most[key] = most[key].Plus(j.mostWaiting(now))
 	}
 	usage := make(map[order.TeamName]order.Resources)
+	bounds := make(map[string]order.Resources)
 	for key, u := range most {
 		if key.service != "" {
-			u = u.Min(m.unreportedCapacity(now, key.service))
+			bound, ok := bounds[key.service]
+			if !ok {
+				bound = m.unreportedCapacity(now, key.service)
+				bounds[key.service] = bound
+			}
+			u = u.Min(bound)
 		}
 		usage[key.team] = usage[key.team].Plus(u)
 	}
