--- a/review/testbed/main.go
+++ b/review/testbed/main.go
@@ -5,6 +5,7 @@
 package main
 
 import (
+	"encoding/json"
 	"errors"
 	"fmt"
 	"net/http"
@@ -34,6 +35,7 @@
 		"gang":      {"LOST", playGang},
 		"cancel":    {"UNASKED", playCancel},
 		"cooldown":  {"LOST", playCooldown},
+		"waiting":   {"MIXED", playWaiting},
 	}
 	c, ok := plays[os.Args[1]]
 	if !ok {
@@ -45,6 +47,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(2)
 	}
+	go endProcesses()
 	s, err := c.play(record, os.Getenv("TROUBLE") != "0")
 	if s != nil {
 		s.close()
@@ -263,3 +266,42 @@
 	s.watchIdle(20 * time.Second)
 	return s, nil
 }
+
+// playWaiting hands in ten jobs that need the label of one worker, which is
+// unhealthy and rejects all starts, and asks how many jobs wait.
+func playWaiting(record *Record, trouble bool) (*System, error) {
+	s, err := newSystem(record, zones, 3, 1)
+	if err != nil {
+		return s, err
+	}
+	s.fleet.workers["w00"].busy = trouble
+	for range 10 {
+		j := s.newJob(Step{count: 1, cpu: 2000, mem: 1000, work: time.Second, label: "r1-0"})
+		if !s.submit(j, "r-1") {
+			return s, errNotAccepted
+		}
+	}
+	// visibleMs and 2 s.
+	time.Sleep(5500 * time.Millisecond)
+	s.fleet.mu.Lock()
+	waiting := 0
+	for id := range s.fleet.jobs {
+		if len(s.fleet.tasks[id+".0.0.0"]) == 0 {
+			waiting++
+		}
+	}
+	s.fleet.mu.Unlock()
+	_, text := s.call(s.hosts[0], http.MethodGet, "/r-1/", nil)
+	var answer struct {
+		Waiting int `json:"waiting"`
+	}
+	if err := json.Unmarshal([]byte(text), &answer); err != nil {
+		return s, err
+	}
+	s.fleet.mu.Lock()
+	defer s.fleet.mu.Unlock()
+	if 2*answer.Waiting < waiting {
+		s.fleet.breakRule("MIXED", "%d jobs are said to wait, and %d have begun nothing", answer.Waiting, waiting)
+	}
+	return s, nil
+}
--- a/review/testbed/network.go
+++ b/review/testbed/network.go
@@ -23,12 +23,13 @@
 	healed chan struct{}
 	pids   map[int]string
 	ttls   map[int64]int64
+	conns  map[*conn]bool
 }
 
 var errCut = errors.New("connection lost in a partition")
 
 func newNetwork() *Network {
-	return &Network{healed: make(chan struct{}), pids: make(map[int]string), ttls: make(map[int64]int64)}
+	return &Network{healed: make(chan struct{}), pids: make(map[int]string), ttls: make(map[int64]int64), conns: make(map[*conn]bool)}
 }
 
 // cut begins a partition: no byte passes between two places for which the
@@ -62,6 +63,18 @@
 	return false, nil
 }
 
+// reset ends the connections to a place whose process has crashed. The other
+// side sees it with the next bytes, and not before the end of a partition.
+func (n *Network) reset(place string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for c := range n.conns {
+		if c.to == place {
+			n.conns[c] = true
+		}
+	}
+}
+
 func (n *Network) setTTL(lease, ttl int64) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -123,45 +136,67 @@
 
 // lookups is how often the process of a connection is looked up: the kernel's
 // table is not read in one piece, so that a line may be missed.
-const lookups = 20
+const lookups = 5
 
 // Accept implements net.Listener. A connection of an unknown process is closed.
 func (l *listener) Accept() (net.Conn, error) {
-	for {
-		c, err := l.Listener.Accept()
-		if err != nil {
-			return nil, err
-		}
-		from := ""
-		for try := 0; from == "" && try < lookups; try++ {
-			from = l.network.zoneOf(c)
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	accepted := &conn{Conn: c, network: l.network, to: l.place, known: make(chan struct{})}
+	l.network.mu.Lock()
+	l.network.conns[accepted] = false
+	l.network.mu.Unlock()
+	go func() {
+		defer close(accepted.known)
+		for try := 0; accepted.from == "" && try < lookups; try++ {
+			accepted.from = l.network.zoneOf(c)
 		}
-		if from != "" {
-			return &conn{Conn: c, network: l.network, from: from, to: l.place}, nil
+		if accepted.from == "" {
+			accepted.Close()
 		}
-		c.Close()
-	}
+	}()
+	return accepted, nil
 }
 
 // conn is a connection that a partition can cut.
 type conn struct {
 	net.Conn
-	network  *Network
-	from, to string
+	network *Network
+	to      string
+
+	// from is the zone of the process at the other end, once known is closed.
+	from  string
+	known chan struct{}
 }
 
-// pass waits for the end of a partition and then fails. Without one it returns
-// nil.
+// pass waits for the end of a partition and then fails, as it does after a
+// reset. Otherwise it returns nil.
 func (c *conn) pass() error {
+	<-c.known
 	cut, healed := c.network.separated(c.from, c.to)
-	if !cut {
+	if cut {
+		<-healed
+	}
+	c.network.mu.Lock()
+	dead := c.network.conns[c]
+	c.network.mu.Unlock()
+	if !cut && !dead {
 		return nil
 	}
-	<-healed
-	c.Conn.Close()
+	c.Close()
 	return errCut
 }
 
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.network.mu.Lock()
+	delete(c.network.conns, c)
+	c.network.mu.Unlock()
+	return c.Conn.Close()
+}
+
 // Read implements net.Conn.
 func (c *conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
--- a/review/testbed/system.go
+++ b/review/testbed/system.go
@@ -9,9 +9,11 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -134,6 +136,7 @@
 	if err := h.cmd.Start(); err != nil {
 		return err
 	}
+	started.Store(h, h.cmd.Process)
 	s.net.addProcess(h.cmd.Process.Pid, h.zone)
 	s.record.add("host %s in %s starts as process %d", h.name, h.zone, h.cmd.Process.Pid)
 	return nil
@@ -153,6 +156,21 @@
 	return fmt.Errorf("%s is not ready after %s", h.name, readyTimeout)
 }
 
+// started holds the process of each host, for endProcesses.
+var started sync.Map
+
+// endProcesses ends all started processes if the test bed itself is stopped.
+func endProcesses() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	<-signals
+	started.Range(func(_, p any) bool {
+		_ = p.(*os.Process).Kill()
+		return true
+	})
+	os.Exit(2)
+}
+
 // close ends the processes. Their logs stay if KEEP is set.
 func (s *System) close() {
 	for _, h := range s.hosts {
@@ -225,7 +243,7 @@
 	r.Host = queueHost
 	r.Header.Set("X-Api-Key", apiKey)
 	r.Header.Set("X-Chervilhollow-Request-Deadline", fmt.Sprint(callDeadline.Milliseconds()))
-	client := http.Client{Timeout: callDeadline}
+	client := http.Client{Timeout: callDeadline, Transport: &http.Transport{DisableKeepAlives: true}}
 	response, err := client.Do(r)
 	if err != nil {
 		s.record.add("%s %s at %s: no answer", method, path, h.name)
@@ -246,6 +264,9 @@
 		if len(st.after) > 0 {
 			d["after"] = st.after
 		}
+		if st.label != "" {
+			d["constraints"] = st.label
+		}
 		if st.lasting {
 			d["longRunning"] = true
 		}
--- a/review/testbed/worker.go
+++ b/review/testbed/worker.go
@@ -43,6 +43,7 @@
 	failing   bool
 	gang      bool
 	lasting   bool
+	label     string
 }
 
 // Worker is one worker. It keeps its ID when it restarts.
@@ -54,6 +55,7 @@
 	cpu, mem int64
 
 	up         bool
+	busy       bool
 	lateShare  float64
 	born       time.Time
 	sequence   int
@@ -149,6 +151,7 @@
 	f.record.add("worker %s crashes with %d runs", w.id, len(w.running))
 	w.boot()
 	f.mu.Unlock()
+	f.net.reset(w.id + "@" + w.zone)
 	w.writeEntry()
 }
 
@@ -229,8 +232,12 @@
 		return
 	}
 	w.fleet.mu.Lock()
-	late, born := rand.Float64() < w.lateShare, w.born
+	late, born, busy := rand.Float64() < w.lateShare, w.born, w.busy
 	w.fleet.mu.Unlock()
+	if busy && r.URL.Path == "/v1/run-start" {
+		out.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	if late {
 		delay := minLate + rand.N(maxLate-minLate)
 		time.AfterFunc(delay, func() {
@@ -279,6 +286,7 @@
 		return w.conflict("fence")
 	}
 	if r := w.running[body.Task]; r != nil && r.number == body.Run {
+		w.extend(body.Deadline)
 		return http.StatusOK, object{"clockMs": w.clock()}
 	}
 	if body.Deadline <= w.clock() {
