--- a/review/testbed/main.go
+++ b/review/testbed/main.go
@@ -36,6 +36,7 @@
 		"cancel":    {"UNASKED", playCancel},
 		"cooldown":  {"LOST", playCooldown},
 		"waiting":   {"MIXED", playWaiting},
+		"leave":     {"LOST", playLeave},
 	}
 	c, ok := plays[os.Args[1]]
 	if !ok {
@@ -74,7 +75,7 @@
 }
 
 // playPartition cuts the owner's zone off from the others and from the store
-// for 8 s, with its two hosts and its workers.
+// for 12 s, with its two hosts and its workers.
 func playPartition(record *Record, trouble bool) (*System, error) {
 	s, err := newSystem(record, zones, 2, 2)
 	if err != nil {
@@ -95,7 +96,7 @@
 		inside := func(place string) bool { return place == owner.zone || strings.HasSuffix(place, "@"+owner.zone) }
 		s.net.cut(func(a, b string) bool { return inside(a) && !inside(b) })
 	}
-	time.Sleep(8 * time.Second)
+	time.Sleep(12 * time.Second)
 	s.net.heal()
 	record.add("the partition has ended")
 	time.Sleep(10 * time.Second)
@@ -305,3 +306,28 @@
 	}
 	return s, nil
 }
+
+// playLeave takes a worker with lasting tasks away after it has drained, and
+// stops the owner, as planned, just before the worker leaves.
+func playLeave(record *Record, trouble bool) (*System, error) {
+	s, err := newSystem(record, zones, 2, 1)
+	if err != nil {
+		return s, err
+	}
+	j := s.newJob(Step{count: 6, cpu: 2000, mem: 1000, work: time.Hour, lasting: true})
+	if !s.submit(j, "r-1") {
+		return s, errNotAccepted
+	}
+	time.Sleep(time.Second)
+	if trouble {
+		owner := s.owner()
+		if owner == nil {
+			return s, errors.New("no owner")
+		}
+		go s.fleet.workers["w00"].drain(2500 * time.Millisecond)
+		time.Sleep(2400 * time.Millisecond)
+		go s.terminate(owner)
+	}
+	s.watchIdle(16 * time.Second)
+	return s, nil
+}
--- a/review/testbed/network.go
+++ b/review/testbed/network.go
@@ -24,6 +24,7 @@
 	pids   map[int]string
 	ttls   map[int64]int64
 	conns  map[*conn]bool
+	opened []*listener
 }
 
 var errCut = errors.New("connection lost in a partition")
@@ -75,6 +76,22 @@
 	}
 }
 
+// close ends the servers at a place and their connections.
+func (n *Network) close(place string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, l := range n.opened {
+		if l.place == place {
+			l.Listener.Close()
+		}
+	}
+	for c := range n.conns {
+		if c.to == place {
+			c.Conn.Close()
+		}
+	}
+}
+
 func (n *Network) setTTL(lease, ttl int64) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -220,7 +237,11 @@
 	if err != nil {
 		return "", err
 	}
-	go http.Serve(&listener{l, n, place}, handler)
+	opened := &listener{l, n, place}
+	n.mu.Lock()
+	n.opened = append(n.opened, opened)
+	n.mu.Unlock()
+	go http.Serve(opened, handler)
 	return l.Addr().String(), nil
 }
 
--- a/review/testbed/system.go
+++ b/review/testbed/system.go
@@ -51,6 +51,8 @@
 // Host is a process of the system.
 type Host struct {
 	name, zone, ip string
+	settings       string
+	log            *os.File
 	cmd            *exec.Cmd
 }
 
@@ -131,8 +133,14 @@
 	if err := s.net.forward(h.ip+":"+peerPort, h.ip+":"+peerListenPort, h.zone); err != nil {
 		return err
 	}
-	h.cmd = exec.Command(s.program, "-settings", path)
-	h.cmd.Stdout, h.cmd.Stderr = log, log
+	h.log, h.settings = log, path
+	return s.run(h)
+}
+
+// run starts the process of a host.
+func (s *System) run(h *Host) error {
+	h.cmd = exec.Command(s.program, "-settings", h.settings)
+	h.cmd.Stdout, h.cmd.Stderr = h.log, h.log
 	if err := h.cmd.Start(); err != nil {
 		return err
 	}
@@ -142,6 +150,16 @@
 	return nil
 }
 
+// terminate stops a host with SIGTERM and starts it again when it has ended.
+func (s *System) terminate(h *Host) error {
+	s.record.add("host %s gets SIGTERM", h.name)
+	if err := h.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		return err
+	}
+	_ = h.cmd.Wait()
+	return s.run(h)
+}
+
 func (h *Host) awaitReady() error {
 	for end := time.Now().Add(readyTimeout); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
 		r, err := http.Get("http://" + h.ip + ":" + readyPort + "/v1/ready")
--- a/review/testbed/worker.go
+++ b/review/testbed/worker.go
@@ -55,6 +55,8 @@
 	cpu, mem int64
 
 	up         bool
+	draining   bool
+	gone       bool
 	busy       bool
 	lateShare  float64
 	born       time.Time
@@ -170,6 +172,27 @@
 	f.net.cut(func(a, _ string) bool { return a == w.id+"@"+w.zone })
 }
 
+// drain reports the worker as draining, ends its life after the time and
+// removes its entry then. Nothing listens at its address any more.
+func (w *Worker) drain(after time.Duration) {
+	f := w.fleet
+	f.mu.Lock()
+	w.draining = true
+	f.mu.Unlock()
+	w.writeEntry()
+	time.Sleep(after)
+	f.mu.Lock()
+	w.up, w.gone = false, true
+	for _, r := range w.running {
+		r.how, r.endedAt = "left", time.Now()
+	}
+	f.record.add("worker %s leaves with %d runs", w.id, len(w.running))
+	w.running = make(map[string]*run)
+	f.mu.Unlock()
+	f.net.close(w.id + "@" + w.zone)
+	f.store.set("servers/"+w.id, nil)
+}
+
 // sendHeartbeats writes the worker's entry while it reaches the store, and
 // removes it for the platform after three missed heartbeats.
 func (w *Worker) sendHeartbeats() {
@@ -189,9 +212,17 @@
 
 func (w *Worker) writeEntry() {
 	w.fleet.mu.Lock()
+	if w.gone {
+		w.fleet.mu.Unlock()
+		return
+	}
+	state := "ready"
+	if w.draining {
+		state = "draining"
+	}
 	w.sequence++
 	entry := object{
-		"service": serviceName, "address": w.address, "zone": w.zone, "version": "v1", "slots": 8, "state": "ready",
+		"service": serviceName, "address": w.address, "zone": w.zone, "version": "v1", "slots": 8, "state": state,
 		"coldLeftMs": 0, "capacity": object{"cpu": w.cpu, "memMb": w.mem, "gpu": 0},
 		"labels": []string{"a", w.rack}, "sequence": w.sequence, "born": w.born.UnixMilli(),
 	}
