--- a/review/testbed/main.go
+++ b/review/testbed/main.go
@@ -7,6 +7,7 @@
 import (
 	"encoding/json"
 	"errors"
+	"flag"
 	"fmt"
 	"net/http"
 	"os"
@@ -20,10 +21,13 @@
 var zones = []string{"east", "west", "south"}
 
 func main() {
-	if len(os.Args) != 3 {
-		fmt.Fprintln(os.Stderr, "usage: testbed CASE FOLDER")
+	calm := flag.Bool("calm", false, "play the case without its disruption")
+	flag.Parse()
+	if flag.NArg() != 2 {
+		fmt.Fprintln(os.Stderr, "usage: testbed [-calm] CASE FOLDER")
 		os.Exit(2)
 	}
+	name, folder := flag.Arg(0), flag.Arg(1)
 	plays := map[string]struct {
 		rule string
 		play func(record *Record, trouble bool) (*System, error)
@@ -38,18 +42,19 @@
 		"waiting":   {"MIXED", playWaiting},
 		"leave":     {"LOST", playLeave},
 	}
-	c, ok := plays[os.Args[1]]
+	c, ok := plays[name]
 	if !ok {
-		fmt.Fprintln(os.Stderr, "no such case:", os.Args[1])
+		fmt.Fprintln(os.Stderr, "no such case:", name)
 		os.Exit(2)
 	}
-	record, err := newRecord(filepath.Join(os.Args[2], "record.txt"))
+	record, err := newRecord(filepath.Join(folder, "record.txt"))
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(2)
 	}
 	go endProcesses()
-	s, err := c.play(record, os.Getenv("TROUBLE") != "0")
+	record.add("case %s, with the disruption: %t", name, !*calm)
+	s, err := c.play(record, !*calm)
 	if s != nil {
 		s.close()
 	}
