Refuse jobs whose number of tasks overflows

Callers saw a job of two tasks with repeatCount (2^62) accepted. The owner of the cell then builds the steps of all occurrences, so it does not answer any more and takes memory until its process ends; a call that is sent again does the same to the next owner.

Cause: validateSpec multiplies the tasks of a step by the occurrences before it checks either, and a product above 2^63 is negative, so it is not above maxTasks.

Evidence: TestRefusesTaskCountsThatOverflow failed before: "done != malformed" for the cases product and negative. (The case negative was harmless: the HTTP API passes no negative count on.)

--- a/scheduler/submit.go
+++ b/scheduler/submit.go
@@ -126,11 +126,17 @@
 
 // validateSpec returns the code and text with which a job is refused, or Done.
 func validateSpec(spec order.JobSpec) (order.Code, string) {
+	if spec.Repeats() < 0 || spec.Repeats() > maxTasks {
+		return order.Malformed, "number of occurrences out of range"
+	}
 	total := 0
 	for i, s := range spec.Steps() {
+		if s.Tasks() <= 0 || s.Tasks() > maxTasks {
+			return order.Malformed, fmt.Sprintf("step %d: number of tasks out of range", i)
+		}
 		total += s.Tasks() * max(1, spec.Repeats())
 		switch {
-		case s.Tasks() <= 0 || s.Tasks() > maxTasks || total > maxTasks:
+		case total > maxTasks:
 			return order.Malformed, fmt.Sprintf("step %d: number of tasks out of range", i)
 		case s.Size().Cores() < 0 || s.Size().Memory() < 0 || s.Size().Accelerators() < 0:
 			return order.Malformed, fmt.Sprintf("step %d: negative size", i)
