Refuse jobs that the store cannot hold or a later owner cannot read

Callers of a job with firstAtMs past the year 9999 got no answer where the owner had read the call itself: the record could not be encoded, the job stayed in memory and nothing was ever stored. A record above the store's value limit fails its batch for good, so the cell fails, and the next owner gets the same call again. A record with a string that is not UTF-8 would be stored, and no later owner could decode it and take the cell over.

Cause: a new job was only checked field by field, and the record was first encoded when its batch was built, after the job was accepted in memory.

Evidence: TestRefusesJobsThatCannotBeStored failed before: "not true: replied" for the cases time, not UTF-8 and size.

submit now encodes and decodes the record of a new job before it accepts the job, and leaves three quarters of a value for the progress.

--- a/scheduler/submit.go
+++ b/scheduler/submit.go
@@ -8,6 +8,7 @@
 
 	"chervilhollow/order"
 	"chervilhollow/policy"
+	"chervilhollow/storage"
 )
 
 const (
@@ -17,6 +18,10 @@
 	// maxTasks limits the tasks of all steps and occurrences of a job. A larger
 	// gang would exceed any cell.
 	maxTasks = 4096
+
+	// maxNewRecord is the size of the largest record of a new job. The rest of
+	// a value of the store is left for the progress of the job.
+	maxNewRecord = storage.MaxValue / 4
 )
 
 // handleCall answers a caller's request, at once or when the change that it
@@ -80,6 +85,10 @@
 		return
 	}
 	j := newJob(id, queue.Name(), team, c.Spec(), now, m.epoch)
+	if code, text := j.checkRecord(); code != order.Done {
+		m.refuse(now, from, c, code, text)
+		return
+	}
 	j.excess = !m.takeShare(now, team)
 	m.jobs[id] = j
 	m.active[id] = j
@@ -155,6 +164,23 @@
 	return order.Done, ""
 }
 
+// checkRecord returns the code and text with which a new job is refused that
+// the store cannot hold or no later owner could read, or Done.
+func (j *job) checkRecord() (order.Code, string) {
+	value, err := j.record().MarshalCBOR()
+	if err == nil && len(value) > maxNewRecord {
+		return order.BodyTooLarge, "the job is too large to be stored"
+	}
+	if err == nil {
+		var stored order.JobRecord
+		err = stored.UnmarshalCBOR(value)
+	}
+	if err != nil {
+		return order.Malformed, "the job cannot be stored: " + err.Error()
+	}
+	return order.Done, ""
+}
+
 // replyStatus answers with the state of the job. A job that is not stored yet
 // may still be refused, so it counts as unknown.
 func (m *Scheduler) replyStatus(now time.Time, from order.MemberID, c order.JobCallMsg, id order.JobID) {
--- a/scheduler/submit_test.go
+++ b/scheduler/submit_test.go
@@ -2,11 +2,15 @@
 
 import (
 	"math"
+	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
 	"chervilhollow/order"
+	"chervilhollow/policy"
+	"chervilhollow/storage"
 )
 
 // Guards against a job whose number of tasks overflows: it was accepted, and
@@ -25,3 +29,31 @@
 		})
 	}
 }
+
+// Guards against an accepted job that can't be stored: its caller got no answer
+// or the cell failed, and each owner that got the call again failed too.
+func TestRefusesJobsThatCannotBeStored(t *testing.T) {
+	step := []order.JobStep{smallStep(1)}
+	for name, c := range map[string]struct {
+		spec order.JobSpec
+		want order.Code
+	}{
+		"time":      {order.JobSpec{}.WithSteps(step).WithRepeats(1).WithFirst(time.UnixMilli(math.MaxInt64)), order.Malformed},
+		"not UTF-8": {order.JobSpec{}.WithSteps(step).WithPayload("\xff"), order.Malformed},
+		"size":      {order.JobSpec{}.WithSteps(step).WithPayload(strings.Repeat("p", storage.MaxValue)), order.BodyTooLarge},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := newDriver(t, testEpoch)
+			d.m.registry.SetStrict(false)
+			d.configure(policy.Advice{}, order.Resources{})
+			d.feed(NewCallMsg("client", order.JobCallMsg{}.WithCall(7).WithVerb(order.SubmitJob).WithHost(testHost).
+				WithPath("/proofs/"+testJob).WithKey(testKey).WithSpec(c.spec)))
+			r, replied := d.takeReply()
+			d.is.True(replied)
+			d.is.Equal(r.Code(), c.want)
+			d.advance(2 * flushInterval)
+			_, stored := d.takeCommit()
+			d.is.True(!stored)
+		})
+	}
+}
