Store only workers that have responded in the list of workers

A new owner starts no task of an earlier owner until each stored worker has reported or its lease has certainly expired. An entry in the discovery that names no worker, such as one of another writer with an address where nothing listens, was stored like a worker, so each takeover waited the longest lease (10 s) for it, and the stored list grew with every such entry.

Cause: a worker was stored when the discovery listed it, but tasks start only on workers that have responded, so the others need no place in the list.

Evidence: TestTakeoverIgnoresWorkersThatNeverAnswered failed before with "not true: next.m.recovered(next.now)", and TestDropsRestoredWorkerThatNeverAnswers with "not true: stored.Exists()".

The list now holds the workers that have responded, and those that an earlier owner stored until their lease has expired without a response. A start still needs both a response and the stored list. The first task on a new worker may wait for one more batch (20 ms and the store's response) after the worker's first report; workers that an earlier owner stored are not affected. The drivers of the scripted tests now store the list after the first reports.

--- a/scheduler/advice_test.go
+++ b/scheduler/advice_test.go
@@ -29,10 +29,10 @@
 		infos = append(infos, workerInfo(id, 1))
 	}
 	d.feed(NewWorkersMsg(infos, nil, false))
-	d.commitAll()
 	for _, id := range ids {
 		d.answerPoll(id, nil, nil)
 	}
+	d.commitAll()
 	return d
 }
 
--- a/scheduler/driver_test.go
+++ b/scheduler/driver_test.go
@@ -76,16 +76,16 @@
 		WithLabels([]string{"a", "r1-1"}).WithIncarnation(incarnation, false)
 }
 
-// addWorkers lists the workers, stores the list, and answers the first poll of
-// each.
+// addWorkers lists the workers, answers the first poll of each, and stores the
+// list.
 func (d *driver) addWorkers(ids ...order.WorkerID) {
 	for _, id := range ids {
 		d.feed(NewWorkersMsg([]WorkerInfo{workerInfo(id, 1)}, nil, false))
 	}
-	d.commitAll()
 	for _, id := range ids {
 		d.answerPoll(id, nil, nil)
 	}
+	d.commitAll()
 }
 
 // answerPoll answers the open poll of a worker.
--- a/scheduler/journal.go
+++ b/scheduler/journal.go
@@ -256,14 +256,19 @@
 func (j *job) awaited() bool { return len(j.waiters) > 0 || j.state.Ended() }
 
 // addWorkerList adds the list of workers to the batch if it has changed. It
-// returns the workers in the list, or nil.
+// returns the workers in the list, or nil. Workers that never responded are not
+// listed, as no task was started there.
 func (m *Scheduler) addWorkerList(batch storage.Batch) (storage.Batch, []*worker) {
 	if !m.journal.workersDirty || m.journal.workersInFlight {
 		return batch, nil
 	}
-	workers := m.sortedWorkers()
-	records := make([]order.WorkerRecord, 0, len(workers))
-	for _, w := range workers {
+	workers := make([]*worker, 0, len(m.workers))
+	records := make([]order.WorkerRecord, 0, len(m.workers))
+	for _, w := range m.sortedWorkers() {
+		if !w.contacted && !w.persisted {
+			continue
+		}
+		workers = append(workers, w)
 		records = append(records, order.WorkerRecord{}.WithID(w.id).WithAddress(w.info.address).
 			WithService(w.info.service).WithDomain(w.info.domain))
 	}
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -154,7 +154,6 @@
 	if w == nil {
 		w = &worker{id: info.id, attempts: make(map[attemptKey]*attempt)}
 		m.addWorker(w)
-		m.journal.workersDirty = true
 		m.log.Info().Str("worker", string(info.id)).Str("service", info.service).
 			Str("domain", string(info.domain)).Int64("life", info.incarnation).Msg("yard: worker listed")
 	}
@@ -324,6 +323,9 @@
 	}
 	w.missedCalls, w.connRefused, w.unresponsive = 0, false, false
 	w.contacted, w.lastReportAt = true, now
+	if !w.persisted {
+		m.journal.workersDirty = true
+	}
 	w.recordClock(now, in.report.clock)
 	m.handleEnds(now, w, in.report.ended)
 	m.reconcileRuns(now, w, in)
@@ -462,6 +464,10 @@
 			m.log.Warn().Str("worker", string(w.id)).Int("runs", len(w.attempts)).Msg("yard: leases lapsed")
 			m.dropAttempts(now, w, "lease lapsed")
 		}
+		if w.persisted && !w.contacted {
+			// Runs of earlier owners have expired, and this owner started none.
+			w.persisted, m.journal.workersDirty = false, true
+		}
 		if !w.listed && !w.polling {
 			m.removeWorker(w)
 		}
