Read a worker's report beside rows that cannot be read

A worker whose report had one odd row counted as not responding: its lease was not renewed, so all its runs ended and started again elsewhere, and a row in the list of ends stayed there for good, since nothing acknowledged it.

Cause: Poll gave up at the first row that it could not parse, and a number too large anywhere in a row failed the whole response. Run numbers were converted without a check: 1e300 and -1 became run numbers of this owner, and a checkpoint of a megabyte was stored with the job, whose record the store then refuses. The error of such a row ended with "%!w(<nil>)".

An end that cannot be read keeps its number, so that it is acknowledged, and names no task. The owner counts such rows and logs their number when it changes.

--- a/scheduler/orders.go
+++ b/scheduler/orders.go
@@ -77,6 +77,7 @@
 		incarnation int64
 		running     []RunningTask
 		ended       []EndedTask
+		unreadable  int
 	}
 
 	// RunningTask is a run that a worker executes.
@@ -211,13 +212,20 @@
 	return Report{clock: clock, incarnation: incarnation, running: running, ended: ended}
 }
 
+// WithUnreadable returns a copy with the number of rows that could not be read.
+func (r Report) WithUnreadable(rows int) Report {
+	r.unreadable = rows
+	return r
+}
+
 // NewRunningTask returns a run that a worker executes, with its last
 // checkpoint and its progress in percent.
 func NewRunningTask(task TaskRef, run int, checkpoint string, percent int) RunningTask {
 	return RunningTask{task: task, run: run, checkpoint: checkpoint, percent: percent}
 }
 
-// NewEndedTask returns the end of a run, with its last checkpoint.
+// NewEndedTask returns the end of a run, with its last checkpoint. One that
+// names no task is only acknowledged.
 func NewEndedTask(number int64, task TaskRef, run int, result Result, checkpoint string) EndedTask {
 	return EndedTask{number: number, task: task, run: run, result: result, checkpoint: checkpoint}
 }
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -807,3 +807,17 @@
 		d.advance(2 * flushInterval)
 	}
 }
+
+// Guards against an end that can't be read and is never acknowledged: the
+// worker would repeat it, and list no later ends behind many of them.
+func TestAcknowledgesUnreadableEnds(t *testing.T) {
+	d := newDriver(t, testEpoch)
+	d.configure(policy.Advice{}, order.Resources{})
+	d.addWorkers("w1")
+	d.advance(100 * time.Millisecond)
+	d.answerPoll("w1", nil, []EndedTask{NewEndedTask(1, TaskRef{}, 0, 0, ""), {}, NewEndedTask(2, TaskRef{}, 0, 0, "")})
+	d.advance(100 * time.Millisecond)
+	p, ok := d.takePoll()
+	d.is.True(ok)
+	d.is.Equal(p.order.acked, int64(2))
+}
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -52,6 +52,9 @@
 		// worker's last report.
 		unresponsive bool
 
+		// unreadableRows is how many rows of the last report could not be read.
+		unreadableRows int
+
 		// unackedEnds are the reported ends that are not acknowledged yet,
 		// lastEnded is the number of the last end handled, and acked that of
 		// the last one acknowledged.
@@ -327,6 +330,7 @@
 		m.journal.workersDirty = true
 	}
 	w.recordClock(now, in.report.clock)
+	m.recordUnreadable(w, in.report.unreadable)
 	m.handleEnds(now, w, in.report.ended)
 	m.reconcileRuns(now, w, in)
 	w.nextPollAt = now.Add(pollDelay)
@@ -349,6 +353,16 @@
 	}
 }
 
+// recordUnreadable counts the rows of a report that could not be read, and logs
+// their number when it changes.
+func (m *Scheduler) recordUnreadable(w *worker, rows int) {
+	m.registry.Add("yard.report_rows_unreadable", int64(rows))
+	if rows != w.unreadableRows {
+		m.log.Warn().Str("worker", string(w.id)).Int("rows", rows).Msg("yard: rows of the worker's report not read")
+		w.unreadableRows = rows
+	}
+}
+
 // handleEnds handles the reported ends, except for those handled before.
 func (m *Scheduler) handleEnds(now time.Time, w *worker, ended []EndedTask) {
 	for _, e := range ended {
