Report the changes of links in their order

A process could take a peer for unreachable although a link to it was open: the notice of a link that had closed could reach the handler after that of a link that opened at that moment.

Cause: register and unregister change the number of links under the lock of the node and call the handler after they have released it, so the two goroutines may call it in either order or at the same time.

Evidence: TestLinkNoticesKeepTheirOrder failed before with "not true: !<-notices // of the first link": the handler finished the notice of the second link first.

A lock of its own is now held from the change until the handler has returned. The handler never blocks, and no other lock is held when it is taken.

--- a/transport/link.go
+++ b/transport/link.go
@@ -31,7 +31,7 @@
 	l.done = make(chan struct{})
 	l.ws.SetReadLimit(int64(n.limits.maxFrame))
 	l.conn.active.Store(true)
-	replaced, first, ok := n.register(l)
+	replaced, ok := n.register(l)
 	if !ok {
 		l.ws.CloseNow()
 		return
@@ -39,17 +39,25 @@
 	if replaced != nil {
 		replaced.ws.CloseNow()
 	}
-	if first {
-		n.notifyLink(l.peer.id, true)
-	}
 	n.reg.Count("ferry.links_opened")
 	go l.read()
 	go l.write()
 }
 
-// register adds the link to its peer. A peer that dials again has lost its
-// earlier link, so the new accepted link replaces that one.
-func (n *Node) register(l *link) (replaced *link, first, ok bool) {
+// register adds the link to its peer and reports the first link of a peer to
+// the handler. A peer that dials again has lost its earlier link, so the new
+// accepted link replaces that one.
+func (n *Node) register(l *link) (replaced *link, ok bool) {
+	n.notices.Lock()
+	defer n.notices.Unlock()
+	replaced, first, ok := n.addLink(l)
+	if first {
+		n.notifyLink(l.peer.id, true)
+	}
+	return replaced, ok
+}
+
+func (n *Node) addLink(l *link) (replaced *link, first, ok bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.closed {
@@ -67,10 +75,21 @@
 	return replaced, l.peer.links == 1, true
 }
 
-// unregister removes a link that has ended. If messages still wait for the peer
-// and it has no other link, it is dialed again.
+// unregister removes a link that has ended, and reports the last link of a peer
+// to the handler.
 func (n *Node) unregister(l *link) {
+	n.notices.Lock()
+	defer n.notices.Unlock()
+	if n.removeLink(l) {
+		n.notifyLink(l.peer.id, false)
+	}
+}
+
+// removeLink removes a link and reports whether it was the peer's last one. If
+// messages still wait for the peer, it is dialed again.
+func (n *Node) removeLink(l *link) bool {
 	n.mu.Lock()
+	defer n.mu.Unlock()
 	p := l.peer
 	p.links--
 	delete(n.links, l)
@@ -82,10 +101,7 @@
 		n.dialIfNeeded(p)
 	}
 	n.removeIfUnused(p)
-	n.mu.Unlock()
-	if last {
-		n.notifyLink(p.id, false)
-	}
+	return last
 }
 
 // notifyLink calls the link handler.
--- a/transport/node.go
+++ b/transport/node.go
@@ -31,7 +31,8 @@
 	MessageHandler func(from order.MemberID, m order.Msg)
 
 	// LinkHandler is called when the first link to a peer opens, with up set,
-	// and when the last one closes. It must not block.
+	// and when the last one closes. Its calls don't overlap, and it must not
+	// block.
 	LinkHandler func(peer order.MemberID, up bool)
 
 	// Node holds the links of one process to its peers. It is safe for
@@ -52,6 +53,11 @@
 		wg     sync.WaitGroup
 		local  chan order.Msg
 
+		// notices is held while a link is added or removed and the handler is
+		// told, so that it learns of changes in their order. It is locked before
+		// mu.
+		notices sync.Mutex
+
 		mu        sync.Mutex
 		closed    bool
 		peers     map[order.MemberID]*peer
--- a/transport/node_test.go
+++ b/transport/node_test.go
@@ -346,3 +346,37 @@
 		c.next(b)
 	}
 }
+
+// Guards against a link that counts as lost although it is open: the notices of
+// a link that closes and of the next one that opens must not overtake each
+// other.
+func TestLinkNoticesKeepTheirOrder(t *testing.T) {
+	is := is.New(t)
+	b := newTestNode(t, listen(t, "127.0.0.1:0"), secret)
+	closing, reopened, notices := make(chan struct{}), make(chan struct{}), make(chan bool, 64)
+	var once sync.Once
+	b.node.OnLink(func(_ order.MemberID, up bool) {
+		if !up {
+			once.Do(func() { close(closing) })
+			select {
+			case <-reopened:
+			case <-time.After(300 * time.Millisecond):
+			}
+		}
+		notices <- up
+		select {
+		case <-closing:
+			if up {
+				close(reopened)
+			}
+		default:
+		}
+	})
+	ws := handshake(t, b)
+	is.True(<-notices)
+	ws.CloseNow()
+	<-closing
+	handshake(t, b)
+	is.True(!<-notices) // of the first link
+	is.True(<-notices)
+}
