List again after a watch answer that cannot be read

A machine stopped following the entries of the store for good when the answer to its watch was larger than it reads (16 MiB, as after a writer's 17 entries of a megabyte between two calls) or could not be decoded.

Cause: the follower repeated the same watch after each error, and a watch from the same version returns the same changes.

Evidence: TestFollowsPastAnswerThatIsTooLarge failed before: "the entry after the large ones was not seen" in 20 s.

Such an answer is now its own error, which matches ErrUnavailable as before, and the follower lists after it. A list comes in pages, whose size the platform limits. An answer is still read as a whole: the platform encodes the rows, so an odd row in one is a fault of the store, and skipping it would hide a change.

--- a/storage/follower.go
+++ b/storage/follower.go
@@ -87,6 +87,10 @@
 			listed = false
 			continue
 		case change.err != nil:
+			if errors.Is(change.err, ErrUnreadable) {
+				f.log.Warn().Err(change.err).Str("prefix", f.prefix).Uint64("version", uint64(after)).Msg("depot: answer not read, listing again")
+				listed = false
+			}
 			f.handler(change)
 			f.sleep(ctx, retryDelay)
 			continue
--- a/storage/store.go
+++ b/storage/store.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 )
 
@@ -80,6 +81,11 @@
 	// caller has to read the key to determine which.
 	ErrUncertain = errors.New("store answer lost")
 
+	// ErrUnreadable reports an answer to a read that is too large or cannot be
+	// decoded. A watch from the same version would get it again, so the caller
+	// has to list. It matches ErrUnavailable.
+	ErrUnreadable = fmt.Errorf("%w: answer not readable", ErrUnavailable)
+
 	// ErrCompacted reports that a watch starts before the oldest change that
 	// the store keeps. The caller has to list, and watch from the version of
 	// the list.
