Read the host list beside rows that cannot be read

One odd row in the platform's host list, such as a number too large or a value of another type, made the whole list unreadable: the placers kept their last list and learned of no new or leaving worker while the row was there. A row with a negative or overflowing size or a port out of range counted as a worker.

Cause: the list was decoded as one document, and its rows were not checked.

Rows are decoded one by one. Those that name no worker or no entry host are left out, and their number is logged when the list changes. A list that is no JSON at all, also by a row nested deeper than 10000 levels, still leaves the last one in use.

--- a/roster/hostlist.go
+++ b/roster/hostlist.go
@@ -1,6 +1,7 @@
 package roster
 
 import (
+	"encoding/json"
 	"sort"
 
 	"chervilhollow/order"
@@ -15,6 +16,9 @@
 	byGroup    map[order.GroupID][]Worker
 	groups     []order.GroupID
 	entryHosts []EntryHost
+
+	// unreadable is the number of rows that were left out.
+	unreadable int
 }
 
 func newHostListSnapshot(document hostListDocument, etag string) *hostListSnapshot {
@@ -23,8 +27,13 @@
 		byID:    make(map[order.WorkerID]Worker, len(document.Workers)),
 		byGroup: make(map[order.GroupID][]Worker),
 	}
-	for _, d := range document.Workers {
-		l.byID[order.WorkerID(d.ID)] = d.worker()
+	for _, row := range document.Workers {
+		w, err := decodeWorker(row)
+		if err != nil {
+			l.unreadable++
+			continue
+		}
+		l.byID[w.id] = w
 	}
 	for _, w := range l.byID {
 		l.workers = append(l.workers, w)
@@ -37,7 +46,12 @@
 		l.groups = append(l.groups, group)
 	}
 	sort.Slice(l.groups, func(i, j int) bool { return l.groups[i] < l.groups[j] })
-	for _, d := range document.EntryHosts {
+	for _, row := range document.EntryHosts {
+		var d entryHostDocument
+		if err := json.Unmarshal(row, &d); err != nil || d.Address == "" {
+			l.unreadable++
+			continue
+		}
 		l.entryHosts = append(l.entryHosts, NewEntryHost(d.Address, order.DomainName(d.Domain)))
 	}
 	return l
--- a/roster/hosts.go
+++ b/roster/hosts.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"math"
 	"net"
 	"net/http"
+	"net/url"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -43,9 +46,10 @@
 		domain  order.DomainName
 	}
 
+	// hostListDocument keeps the rows undecoded, as each is decoded by itself.
 	hostListDocument struct {
-		Workers    []workerDocument    `json:"workers"`
-		EntryHosts []entryHostDocument `json:"entry_hosts"`
+		Workers    []json.RawMessage `json:"workers"`
+		EntryHosts []json.RawMessage `json:"entry_hosts"`
 	}
 
 	workerDocument struct {
@@ -75,8 +79,17 @@
 	maxResponseBytes  = 16 << 20
 	stateLive         = "live"
 	milliCoresPerCore = 1000
+
+	// Limits of a worker, so that the sums over a cluster do not overflow.
+	maxCores     = 1 << 20
+	maxMemory    = 1 << 50
+	maxCount     = 1 << 20
+	maxNameBytes = 200
+	maxURLBytes  = 1000
 )
 
+var errNotWorker = errors.New("row names no worker")
+
 // WithFetchInterval sets how often Run fetches the list. The default is a
 // second.
 func WithFetchInterval(interval time.Duration) HostListOption {
@@ -144,6 +157,9 @@
 	}
 	if document != nil {
 		snapshot = newHostListSnapshot(*document, etag)
+		if snapshot.unreadable > 0 {
+			c.log.Warn().Int("rows", snapshot.unreadable).Msg("roster: rows of the host list not read")
+		}
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -240,6 +256,37 @@
 	return &document, resp.Header.Get("ETag"), nil
 }
 
+// decodeWorker returns the worker in a row. Rows with values that no worker has
+// are returned as errors.
+func decodeWorker(row json.RawMessage) (Worker, error) {
+	var d workerDocument
+	if err := json.Unmarshal(row, &d); err != nil {
+		return Worker{}, fmt.Errorf("%w: %w", errNotWorker, err)
+	}
+	if d.ID == "" || max(len(d.ID), len(d.Domain), len(d.Rack)) > maxNameBytes || !validURL(d.URL) || !d.inRange() {
+		return Worker{}, errNotWorker
+	}
+	return d.worker(), nil
+}
+
+func (d workerDocument) inRange() bool {
+	return d.Cores >= 0 && d.Cores <= maxCores && d.Memory >= 0 && d.Memory <= maxMemory &&
+		min(d.Accelerators, d.Slots, d.Connections) >= 0 && max(d.Accelerators, d.Slots, d.Connections) <= maxCount
+}
+
+// validURL reports whether the text is the base URL of an HTTP API.
+func validURL(text string) bool {
+	u, err := url.Parse(text)
+	if err != nil || len(text) > maxURLBytes || u.Scheme != "http" && u.Scheme != "https" || u.Hostname() == "" {
+		return false
+	}
+	if u.Port() == "" {
+		return true
+	}
+	port, err := strconv.ParseUint(u.Port(), 10, 16)
+	return err == nil && port != 0
+}
+
 func (d workerDocument) worker() Worker {
 	size := order.Resources{}.
 		WithCores(order.MilliCores(math.Round(d.Cores * milliCoresPerCore))).
--- a/roster/hosts_test.go
+++ b/roster/hosts_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -89,3 +90,42 @@
 	is.NoErr(hosts.Fetch(ctx))
 	is.Equal(full, 2)
 }
+
+// Guards against one odd row that makes the whole list unreadable, or that is
+// taken for a worker.
+func TestReadsHostListBesideOddRows(t *testing.T) {
+	worker := func(id, field, value string) string {
+		fields := map[string]string{
+			"url": `"http://127.0.0.1:1"`, "domain": `"east"`, "rack": `"r1"`, "cores": "64", "memory": "2048",
+			"accelerators": "1", "slots": "8", "connections": "64", "state": `"live"`,
+		}
+		fields[field] = value
+		row := `{"id":` + id
+		for name, text := range fields {
+			row += `,"` + name + `":` + text
+		}
+		return row + "}"
+	}
+	for _, row := range []string{
+		`null`, `7`, `[]`, `{}`, strings.Repeat("[", 5000) + strings.Repeat("]", 5000), worker(`7`, "rack", `"r1"`), worker(`""`, "rack", `"r1"`),
+		worker(`"x"`, "cores", "1e400"), worker(`"x"`, "cores", "1e300"), worker(`"x"`, "cores", "-1"), worker(`"x"`, "memory", "99999999999999999999"),
+		worker(`"x"`, "memory", "-1"), worker(`"x"`, "slots", "1.5"), worker(`"x"`, "slots", "-8"), worker(`"x"`, "accelerators", "4294967296"),
+		worker(`"x"`, "connections", `"64"`), worker(`"x"`, "url", `"http://127.0.0.1:99999"`), worker(`"x"`, "url", `"http://127.0.0.1:-1"`),
+		worker(`"x"`, "url", `"http://127.0.0.1 :1"`), worker(`"x"`, "url", `"127.0.0.1:1"`), worker(`"x"`, "url", `"http://"`), worker(`"x"`, "url", `"file:///x"`),
+		worker(`"x"`, "url", `""`), worker(`"x"`, "state", "[]"), worker(`"x"`, "domain", "1e400"),
+	} {
+		t.Run(row[:min(len(row), 200)], func(t *testing.T) {
+			is := is.New(t)
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				_, _ = w.Write([]byte(`{"workers":[` + row + `,` + worker(`"w1"`, "rack", `"r1"`) + `],
+					"entry_hosts":[{"address":7},null,{"address":"10.0.0.1","domain":"east"}]}`))
+			}))
+			defer server.Close()
+			hosts := roster.NewHostListClient(server.URL, timers.New())
+			is.NoErr(hosts.Fetch(context.Background()))
+			is.Equal(len(hosts.Workers()), 1)
+			is.True(!hosts.Unschedulable("w1"))
+			is.Equal(len(hosts.EntryHosts()), 1)
+		})
+	}
+}
