--- a/order/order_test.go
+++ b/order/order_test.go
@@ -35,15 +35,35 @@
 	is.Equal(string(bid.Task().Payload()), "tag")
 }
 
-// Guards against malformed input that makes Decode panic and stops the process.
+// Guards against malformed input that makes Decode panic and stops the process,
+// and against a decoded message that the next process cannot decode.
 func FuzzDecode(f *testing.F) {
-	data, err := order.Encode(order.StatusMsg{}.WithTeam("toys"))
-	if err != nil {
-		f.Fatal(err)
+	for _, m := range []order.Msg{
+		order.StatusMsg{}.WithTeam("toys"),
+		order.HelloMsg{}.WithMember("10.0.0.1:7000/a").WithVersion(1),
+		order.JobCallMsg{}.WithCall(1).WithPath("/proofs/1").WithSpec(order.JobSpec{}.WithPayload("p").WithFirst(time.UnixMilli(1)).
+			WithSteps([]order.JobStep{order.JobStep{}.WithTasks(2), order.JobStep{}.WithTasks(1).WithAfter([]int{0})})),
+		order.JobReplyMsg{}.WithCall(1).WithCode(order.Done),
+		order.AdviceReplyMsg{}.WithTickets([]order.WorkerTicket{order.WorkerTicket{}.WithWorker("w1").WithTicket("t")}),
+	} {
+		data, err := order.Encode(m)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
 	}
-	f.Add(data)
-	f.Fuzz(func(_ *testing.T, data []byte) {
-		_, _ = order.Decode(data)
+	f.Fuzz(func(t *testing.T, data []byte) {
+		m, err := order.Decode(data)
+		if err != nil {
+			return
+		}
+		again, err := order.Encode(m)
+		if err != nil {
+			return // a year that has no text form
+		}
+		if _, err := order.Decode(again); err != nil {
+			t.Fatalf("%T decoded from %x cannot be decoded again: %v", m, data, err)
+		}
 	})
 }
 
