Take the cell over beside a stored job that cannot be read

One odd entry under job/, of another writer or of a version with a fault, made every new owner give the cell up, so no host served any job again.

Cause: Restore returned the error of the first record that it could not decode. A record that decodes was taken as it was: one under the key of another job fails that job's next batch, and one with 2^62 occurrences never ends.

Its case with too many tasks was not run on the old code, as it takes all memory.

A record that no owner can have stored is now left out, counted and logged, and stays in the store. Calls about its job get the answer that the outcome is unknown (504), since neither a refusal nor a second job would be true. Restore returns no error any more.

--- a/entryhost/cell.go
+++ b/entryhost/cell.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"sync"
 	"time"
 
@@ -139,9 +138,7 @@
 		}
 		if err == nil {
 			h.replaceOperatorDocs(operator, version)
-			if err := m.Restore(jobs); err != nil {
-				return fmt.Errorf("recover: %w", err)
-			}
+			m.Restore(jobs)
 			return m.RestoreWorkers(workers)
 		}
 		h.log.Warn().Err(err).Msg("pier: stored state not read, retrying")
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -7,6 +7,7 @@
 import (
 	"fmt"
 	"sort"
+	"strings"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -32,9 +33,10 @@
 		withdrawn map[order.DomainName]bool
 
 		// jobs are all jobs that clients may query, and active those that have
-		// not ended.
+		// not ended. unreadable are those whose record could not be read.
 		jobs           map[order.JobID]*job
 		active         map[order.JobID]*job
+		unreadable     map[order.JobID]bool
 		workers        map[order.WorkerID]*worker
 		sorted         []*worker
 		usage          map[order.TeamName]order.Resources
@@ -249,6 +251,7 @@
 		withdrawn:      make(map[order.DomainName]bool),
 		jobs:           make(map[order.JobID]*job),
 		active:         make(map[order.JobID]*job),
+		unreadable:     make(map[order.JobID]bool),
 		workers:        make(map[order.WorkerID]*worker),
 		usage:          make(map[order.TeamName]order.Resources),
 		hosts:          map[order.MemberID]*host{self: {}},
@@ -324,11 +327,14 @@
 
 // Restore adds the jobs stored by earlier owners. It is called before the first
 // Handle.
-func (m *Scheduler) Restore(entries []storage.Entry) error {
+func (m *Scheduler) Restore(entries []storage.Entry) {
 	for _, e := range entries {
-		var r order.JobRecord
-		if err := r.UnmarshalCBOR(e.Value()); err != nil {
-			return fmt.Errorf("decode job record %s: %w", e.Key(), err)
+		r, err := decodeJob(e)
+		if err != nil {
+			m.unreadable[order.JobID(strings.TrimPrefix(e.Key(), JobPrefix))] = true
+			m.registry.Count("yard.job_unreadable")
+			m.log.Error().Err(err).Str("key", e.Key()).Msg("yard: job record not read")
+			continue
 		}
 		j := restore(r, e.Version())
 		m.jobs[j.id] = j
@@ -336,7 +342,21 @@
 			m.active[j.id] = j
 		}
 	}
-	return nil
+}
+
+// decodeJob returns the record in an entry, or an error if no owner stored it.
+func decodeJob(e storage.Entry) (order.JobRecord, error) {
+	var r order.JobRecord
+	if err := r.UnmarshalCBOR(e.Value()); err != nil {
+		return r, fmt.Errorf("decode job record: %w", err)
+	}
+	if jobKey(r.ID()) != e.Key() {
+		return r, fmt.Errorf("record of job %.80q", r.ID())
+	}
+	if code, text := validateSpec(r.Spec()); code != order.Done {
+		return r, fmt.Errorf("invalid job: %s", text)
+	}
+	return r, nil
 }
 
 // prune deletes the jobs that ended longer ago than the retention.
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -345,7 +345,7 @@
 	job := newJob(testJob, testQueue, testTeam, order.JobSpec{}.WithSteps(steps), testStart, 1)
 	value, err := job.record().MarshalCBOR()
 	d.is.NoErr(err)
-	d.is.NoErr(d.m.Restore(entries(jobKey(testJob), value)))
+	d.m.Restore(entries(jobKey(testJob), value))
 	var records []order.WorkerRecord
 	for _, id := range workers {
 		records = append(records, order.WorkerRecord{}.WithID(id).WithAddress("10.0.1.1:80").WithService("press"))
@@ -714,7 +714,7 @@
 	job.state, job.ended = order.JobCancelled, testStart
 	value, err := job.record().MarshalCBOR()
 	d.is.NoErr(err)
-	d.is.NoErr(d.m.Restore(entries(jobKey(testJob), value)))
+	d.m.Restore(entries(jobKey(testJob), value))
 	d.is.Equal(d.startsBeside(NewTaskRef(testJob, 0, 0, 0)), 7)
 }
 
--- a/scheduler/submit.go
+++ b/scheduler/submit.go
@@ -51,6 +51,10 @@
 		m.refuse(now, from, c, order.UnknownRequest, "not a job ID")
 		return
 	}
+	if m.unreadable[id] && c.Verb() != order.CountWaiting {
+		m.refuse(now, from, c, order.OutcomeUnknown, "the stored job cannot be read")
+		return
+	}
 	switch c.Verb() {
 	case order.SubmitJob:
 		m.submit(now, from, c, queue, team, id)
--- a/scheduler/submit_test.go
+++ b/scheduler/submit_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"bytes"
 	"math"
 	"strings"
 	"testing"
@@ -57,3 +58,40 @@
 		})
 	}
 }
+
+// Guards against one stored job that can't be read and keeps every later owner
+// from taking the cell over.
+func TestTakesOverBesideUnreadableJob(t *testing.T) {
+	good, err := newJob(jobID(1), testQueue, testTeam, order.JobSpec{}.WithSteps([]order.JobStep{smallStep(1)}), testStart, 1).record().MarshalCBOR()
+	is.New(t).NoErr(err)
+	endless, err := order.JobRecord{}.WithID(testJob).WithSpec(order.JobSpec{}.WithSteps([]order.JobStep{smallStep(2)}).WithRepeats(1 << 62)).MarshalCBOR()
+	is.New(t).NoErr(err)
+	for name, value := range map[string][]byte{
+		"empty":            nil,
+		"not CBOR":         []byte("{}"),
+		"nesting":          bytes.Repeat([]byte{0x81}, 1<<20),
+		"of another job":   good,
+		"too many tasks":   endless,
+		"without any step": {0xa0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := newDriver(t, 2)
+			d.configure(policy.Advice{}, order.Resources{})
+			d.m.Restore([]storage.Entry{
+				storage.NewEntry(jobKey(testJob), value, 5), storage.NewEntry(jobKey(jobID(1)), good, 6),
+			})
+			d.is.Equal(len(d.m.active), 1)
+			d.addWorkers("w1")
+			d.commitAll()
+			s, started := d.takeStart()
+			d.is.True(started)
+			d.is.Equal(s.order.task.job, jobID(1))
+			for _, verb := range []order.JobVerb{order.SubmitJob, order.JobStatus, order.CancelJob} {
+				d.call(verb, smallStep(1))
+				r, replied := d.takeReply()
+				d.is.True(replied)
+				d.is.Equal(r.Code(), order.OutcomeUnknown)
+			}
+		})
+	}
+}
