Take the cell over without a readable list of workers

A list of workers in the store that cannot be decoded made every new owner give the cell up, so no host served any job again. Entries of the discovery cannot cause it (FuzzDecodeWorker), but nothing repaired it either.

Cause: RestoreWorkers returned the error.

Evidence: TestWaitsForLeasesWithoutListOfWorkers failed before with "decode list of workers: unexpected EOF".

The owner now counts with a lease of the longest time on any worker, as it does for a listed worker that does not report, and starts no task until then. It stores the list only then, so that a further owner in that time waits as well. RestoreWorkers returns no error any more.

--- a/entryhost/cell.go
+++ b/entryhost/cell.go
@@ -139,7 +139,8 @@
 		if err == nil {
 			h.replaceOperatorDocs(operator, version)
 			m.Restore(jobs)
-			return m.RestoreWorkers(workers)
+			m.RestoreWorkers(workers)
+			return nil
 		}
 		h.log.Warn().Err(err).Msg("pier: stored state not read, retrying")
 		select {
--- a/scheduler/journal.go
+++ b/scheduler/journal.go
@@ -1,7 +1,6 @@
 package scheduler
 
 import (
-	"fmt"
 	"time"
 
 	"chervilhollow/order"
@@ -106,7 +105,7 @@
 // flush sends the waiting changes, as far as the limits on batches allow.
 func (m *Scheduler) flush(now time.Time) {
 	for len(m.journal.inFlight) < m.inFlightLimit() && now.Sub(m.journal.lastFlush) >= m.flushDelay() {
-		batch, f := m.nextBatch()
+		batch, f := m.nextBatch(now)
 		if len(batch.Writes())+len(batch.Deletes()) == 0 {
 			return
 		}
@@ -205,7 +204,7 @@
 // nextBatch returns a batch of the changed jobs that are not in flight: those
 // that a client waits for or that have ended first, each in the order of the
 // changes. The list of workers and deletions use the space that is left.
-func (m *Scheduler) nextBatch() (storage.Batch, inFlightBatch) {
+func (m *Scheduler) nextBatch(now time.Time) (storage.Batch, inFlightBatch) {
 	batch := storage.Batch{}.Expect(m.journal.ownership.Key(), m.journal.ownership.Version())
 	var f inFlightBatch
 	background := 0
@@ -230,7 +229,9 @@
 		}
 	}
 	m.journal.dirty = remaining
-	batch, f.workers = m.addWorkerList(batch)
+	if !now.Before(m.unlistedLeaseEnd) {
+		batch, f.workers = m.addWorkerList(batch)
+	}
 	for len(m.journal.deletions) > 0 && batch.Size()+2 <= storage.MaxBatch {
 		deletion := m.journal.deletions[0]
 		m.journal.deletions = m.journal.deletions[1:]
@@ -283,24 +284,28 @@
 
 // RestoreWorkers adds the workers that the store lists, on which earlier owners
 // may have started tasks. Their leases may last for the longest time allowed.
-// It is called before the first Handle.
-func (m *Scheduler) RestoreWorkers(e storage.Entry) error {
+// If the list cannot be read, any worker may have such tasks for that long, and
+// the next owner has to know. It is called before the first Handle.
+func (m *Scheduler) RestoreWorkers(e storage.Entry) {
 	m.journal.workersVersion = e.Version()
 	if !e.Exists() {
-		return nil
+		return
 	}
+	leaseEnd := m.startedAt.Add(maxLeaseTime(m.limits.maxLease))
 	var list order.WorkerList
 	if err := list.UnmarshalCBOR(e.Value()); err != nil {
-		return fmt.Errorf("decode list of workers: %w", err)
+		m.registry.Count("yard.worker_list_unreadable")
+		m.log.Error().Err(err).Msg("yard: list of workers not read")
+		m.unlistedLeaseEnd, m.journal.workersDirty = leaseEnd, true
+		return
 	}
 	for _, r := range list.Workers() {
 		m.addWorker(&worker{
 			id: r.ID(), persisted: true, attempts: make(map[attemptKey]*attempt),
 			info:     NewWorkerInfo(r.ID(), r.Address(), r.Service(), r.Domain(), order.Resources{}),
-			leaseEnd: m.startedAt.Add(maxLeaseTime(m.limits.maxLease)),
+			leaseEnd: leaseEnd,
 		})
 	}
-	return nil
 }
 
 // handleCommitted updates the jobs and workers of a stored batch and answers
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -53,6 +53,10 @@
 		refusals  refusals
 		startedAt time.Time
 
+		// unlistedLeaseEnd is when the leases of workers that the stored list
+		// may lack have expired. It is zero if the list was read.
+		unlistedLeaseEnd time.Time
+
 		// headroom is the free capacity in the present round of placement.
 		headroom headroom
 
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -352,7 +352,7 @@
 	}
 	list, err := order.WorkerList{}.WithWorkers(records).MarshalCBOR()
 	d.is.NoErr(err)
-	d.is.NoErr(d.m.RestoreWorkers(entries(WorkersKey, list)[0]))
+	d.m.RestoreWorkers(entries(WorkersKey, list)[0])
 	var infos []WorkerInfo
 	for _, id := range listed {
 		infos = append(infos, workerInfo(id, 1))
@@ -762,7 +762,7 @@
 	d.is.True(stored.Exists())
 	next := newDriver(t, testEpoch+1)
 	next.configure(policy.Advice{}, order.Resources{})
-	d.is.NoErr(next.m.RestoreWorkers(stored))
+	next.m.RestoreWorkers(stored)
 	next.feed(NewWorkersMsg([]WorkerInfo{workerInfo("w1", 1), workerInfo("odd", 1)}, nil, true))
 	next.is.True(!next.m.recovered(next.now)) // w1 may run tasks
 	next.answerPoll("w1", nil, nil)
@@ -777,13 +777,13 @@
 	record := order.WorkerRecord{}.WithID("odd").WithAddress("10.0.1.1:80").WithService("press").WithDomain("quay")
 	list, err := order.WorkerList{}.WithWorkers([]order.WorkerRecord{record}).MarshalCBOR()
 	d.is.NoErr(err)
-	d.is.NoErr(d.m.RestoreWorkers(entries(WorkersKey, list)[0]))
+	d.m.RestoreWorkers(entries(WorkersKey, list)[0])
 	d.feed(NewWorkersMsg([]WorkerInfo{workerInfo("odd", 1)}, nil, true))
 	d.advance(maxLeaseTime(d.m.limits.maxLease) + time.Second)
 	stored := d.storeWorkers()
 	d.is.True(stored.Exists())
 	next := newDriver(t, 3)
-	d.is.NoErr(next.m.RestoreWorkers(stored))
+	next.m.RestoreWorkers(stored)
 	next.is.True(next.m.recovered(next.now))
 }
 
--- a/scheduler/submit_test.go
+++ b/scheduler/submit_test.go
@@ -95,3 +95,25 @@
 		})
 	}
 }
+
+// Guards against a stored list of workers that can't be read and keeps every
+// later owner from taking the cell over, or that is taken for an empty one.
+func TestWaitsForLeasesWithoutListOfWorkers(t *testing.T) {
+	d := newDriver(t, 2)
+	d.configure(policy.Advice{}, order.Resources{})
+	value, err := newJob(jobID(1), testQueue, testTeam, order.JobSpec{}.WithSteps([]order.JobStep{smallStep(1)}), testStart, 1).record().MarshalCBOR()
+	d.is.NoErr(err)
+	d.m.Restore(entries(jobKey(jobID(1)), value))
+	d.m.RestoreWorkers(storage.NewEntry(WorkersKey, []byte("{}"), 5))
+	d.addWorkers("w1")
+	_, started := d.takeStart()
+	d.is.True(!started)                                        // another worker may run the task
+	d.is.Equal(d.m.journal.workersVersion, storage.Version(5)) // the next owner must wait too
+	d.advance(maxLeaseTime(d.m.limits.maxLease))
+	d.commitAll()
+	d.advance(time.Second)
+	s, started := d.takeStart()
+	d.is.True(started)
+	d.is.Equal(s.order.to.worker, order.WorkerID("w1"))
+	d.is.Equal(d.m.journal.workersVersion, d.version) // the list is stored again
+}
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -491,6 +491,9 @@
 // recovered reports whether all runs that earlier owners may have started are
 // known: each worker has reported, or its last lease has expired.
 func (m *Scheduler) recovered(now time.Time) bool {
+	if now.Before(m.unlistedLeaseEnd) {
+		return false
+	}
 	for _, w := range m.workers {
 		if !w.contacted && now.Before(w.leaseEnd) {
 			return false
