Keep a link open when the body of a message cannot be decoded

One message with a text that is not UTF-8 ended the link to the process that sent it, with all messages in flight.

Cause: a link ended on any error of the decoder, although the frame of such a message is valid and the next one begins after it.

Evidence: TestInvalidMessageLeavesLinkOpen failed before with "no message arrived".

Such a message is dropped, counted and logged like one that only a newer version knows. A frame that is not valid CBOR still ends the link, as does a hello message that cannot be decoded.

--- a/order/codec.go
+++ b/order/codec.go
@@ -1,6 +1,7 @@
 package order
 
 import (
+	"errors"
 	"fmt"
 
 	"github.com/fxamacker/cbor/v2"
@@ -19,6 +20,13 @@
 		number uint64
 	}
 
+	// InvalidMessageError reports a message in a valid frame whose body can't be
+	// decoded, such as one with a text that is not UTF-8.
+	InvalidMessageError struct {
+		number uint64
+		cause  error
+	}
+
 	// frame is the encoded form of a message: an array of its number and its
 	// encoded body.
 	frame struct {
@@ -51,15 +59,20 @@
 }
 
 // Decode returns the message that Encode has encoded. The error wraps
-// *UnknownMessageError if a newer version may know the message.
+// *UnknownMessageError if a newer version may know the message, and
+// *InvalidMessageError if only the body of the message can't be decoded.
 func Decode(data []byte) (Msg, error) {
 	var f frame
 	if err := unmarshal(data, &f); err != nil {
 		return nil, fmt.Errorf("decode frame: %w", err)
 	}
 	m, err := decodeBody(f.Number, f.Body)
-	if err != nil {
+	var unknown *UnknownMessageError
+	switch {
+	case errors.As(err, &unknown):
 		return nil, fmt.Errorf("decode message %d: %w", f.Number, err)
+	case err != nil:
+		return nil, &InvalidMessageError{number: f.Number, cause: err}
 	}
 	return m, nil
 }
@@ -69,6 +82,14 @@
 	return fmt.Sprintf("unknown message number %d", e.number)
 }
 
+// Error implements error.
+func (e *InvalidMessageError) Error() string {
+	return fmt.Sprintf("decode message %d: %v", e.number, e.cause)
+}
+
+// Unwrap returns why the body can't be decoded.
+func (e *InvalidMessageError) Unwrap() error { return e.cause }
+
 func marshal(v any) ([]byte, error) { return encMode.Marshal(v) }
 
 func unmarshal(data []byte, v any) error { return decMode.Unmarshal(data, v) }
--- a/transport/link.go
+++ b/transport/link.go
@@ -132,8 +132,8 @@
 	}
 }
 
-// readMsg returns the next message, or nil for a keep-alive frame and for a
-// message that only a newer version can decode.
+// readMsg returns the next message, or nil for a keep-alive frame, for a message
+// that only a newer version can decode, and for one with an invalid body.
 func (l *link) readMsg(buffer *bytes.Buffer) (order.Msg, error) {
 	kind, r, err := l.ws.Reader(context.Background())
 	if err != nil {
@@ -154,11 +154,16 @@
 	}
 	m, err := order.Decode(buffer.Bytes())
 	var unknown *order.UnknownMessageError
-	if errors.As(err, &unknown) {
+	var invalid *order.InvalidMessageError
+	switch {
+	case errors.As(err, &unknown):
 		l.node.reg.Count("ferry.dropped.unknown_message")
 		return nil, nil
-	}
-	if err != nil {
+	case errors.As(err, &invalid):
+		l.node.reg.Count("ferry.dropped.invalid_message")
+		l.node.log.Warn().Err(err).Str("peer", string(l.peer.id)).Msg("ferry: message dropped")
+		return nil, nil
+	case err != nil:
 		l.node.reg.Count("ferry.refused.garbage")
 	}
 	return m, err
--- a/transport/node_test.go
+++ b/transport/node_test.go
@@ -380,3 +380,21 @@
 	is.True(!<-notices) // of the first link
 	is.True(<-notices)
 }
+
+// Guards against one message that can't be decoded, such as a caller's text that
+// an older process passed on, which ends the link for all others.
+func TestInvalidMessageLeavesLinkOpen(t *testing.T) {
+	is := is.New(t)
+	b := newTestNode(t, listen(t, "127.0.0.1:0"), secret)
+	ws := handshake(t, b)
+	is.True(<-b.linkChanges)
+	invalid, err := order.Encode(order.JobCallMsg{}.WithPath("/\xff"))
+	is.NoErr(err)
+	valid, err := order.Encode(status(1))
+	is.NoErr(err)
+	is.NoErr(ws.Write(context.Background(), websocket.MessageBinary, invalid))
+	is.NoErr(ws.Write(context.Background(), websocket.MessageBinary, valid))
+	is.Equal(sequence(b.next(t).msg), uint64(1))
+	is.Equal(len(b.linkChanges), 0)
+	is.Equal(b.reg.Counter("ferry.dropped.invalid_message"), int64(1))
+}
