Keep workers' changes while the inbox of the cell is full

A worker that was listed, or removed, while the inbox of the cell was full stayed unknown to the cell, or in use, until its entry changed again.

Cause: applyWorkerChange dropped the change with a line in the log, but the watch reports each change once.

The goroutine of the watch now waits for room, until the cell stops.

--- a/entryhost/cell.go
+++ b/entryhost/cell.go
@@ -113,7 +113,7 @@
 	go func() {
 		defer wg.Done()
 		f := storage.NewFollower(h.deps.store, h.clock, h.deps.decoder.WorkerPrefix(), workerWatchPause, h.log,
-			func(c storage.Change) { h.applyWorkerChange(cell, c) })
+			func(c storage.Change) { h.applyWorkerChange(ctx, cell, c) })
 		// Run ends with the context and returns no error.
 		_ = f.Run(ctx)
 	}()
@@ -152,8 +152,9 @@
 }
 
 // applyWorkerChange passes a change of the workers' entries to the cell. An
-// entry that cannot be decoded counts as removed.
-func (h *Host) applyWorkerChange(runner *scheduler.Runner, c storage.Change) {
+// entry that cannot be decoded counts as removed. It waits while the inbox is
+// full, as the watch reports each change once.
+func (h *Host) applyWorkerChange(ctx context.Context, runner *scheduler.Runner, c storage.Change) {
 	if c.Err() != nil {
 		h.log.Debug().Err(c.Err()).Msg("pier: workers' entries not read")
 		return
@@ -180,7 +181,7 @@
 		}
 		decode(e.Entry())
 	}
-	if err := runner.Enqueue(scheduler.NewWorkersMsg(infos, removed, c.IsSnapshot())); err != nil {
-		h.log.Error().Err(err).Msg("pier: workers not passed to the cell")
+	if err := runner.EnqueueWait(ctx, scheduler.NewWorkersMsg(infos, removed, c.IsSnapshot())); err != nil {
+		h.log.Debug().Err(err).Msg("pier: workers not passed to the cell, which stops")
 	}
 }
--- a/scheduler/runner.go
+++ b/scheduler/runner.go
@@ -101,6 +101,18 @@
 	}
 }
 
+// EnqueueWait queues an input that must not be lost. It blocks while the inbox
+// is full, until the context ends. It may be called from any goroutine but that
+// of Run.
+func (r *Runner) EnqueueWait(ctx context.Context, in Msg) error {
+	select {
+	case r.inbox <- in:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // Run processes inputs until the context ends, and then returns nil. It returns
 // an error if the cell is lost to another owner or the store diverged.
 func (r *Runner) Run(ctx context.Context) error {
