--- a/election/elector.go
+++ b/election/elector.go
@@ -79,14 +79,23 @@
 		failedCalls int
 	}
 
-	// Event is a change of the ownership: an AcquiredEvent, a LostEvent or an
-	// OwnerEvent.
+	// Event is a change of the ownership: an AcquiredEvent, a LostEvent, an
+	// OwnerEvent or a ConfirmedEvent.
 	Event interface{ event() }
 
-	// AcquiredEvent reports that this process has become the owner.
+	// AcquiredEvent reports that this process has become the owner, by a claim
+	// that was sent at claimedAt.
 	AcquiredEvent struct {
-		epoch  order.Epoch
-		record storage.Entry
+		epoch     order.Epoch
+		record    storage.Entry
+		claimedAt time.Time
+	}
+
+	// ConfirmedEvent reports that the store still had this process as the owner
+	// at the time at or later.
+	ConfirmedEvent struct {
+		epoch order.Epoch
+		at    time.Time
 	}
 
 	// LostEvent reports that this process is no longer the owner. There is none
@@ -154,9 +163,10 @@
 	reclaimDelay    = 100 * time.Millisecond
 )
 
-func (AcquiredEvent) event() {}
-func (LostEvent) event()     {}
-func (OwnerEvent) event()    {}
+func (AcquiredEvent) event()  {}
+func (LostEvent) event()      {}
+func (OwnerEvent) event()     {}
+func (ConfirmedEvent) event() {}
 
 // Epoch returns the fencing token of this ownership.
 func (e AcquiredEvent) Epoch() order.Epoch { return e.epoch }
@@ -165,6 +175,17 @@
 // its version, so that it fails once another process is the owner.
 func (e AcquiredEvent) Record() storage.Entry { return e.record }
 
+// ClaimedAt returns when the claim was sent. No other process has owned the cell
+// since.
+func (e AcquiredEvent) ClaimedAt() time.Time { return e.claimedAt }
+
+// Epoch returns the fencing token of the ownership that was confirmed.
+func (e ConfirmedEvent) Epoch() order.Epoch { return e.epoch }
+
+// At returns a time at which this process still was the only owner: the one at
+// which the call was sent that the store answered.
+func (e ConfirmedEvent) At() time.Time { return e.at }
+
 // Member returns the owner, or an empty ID if the cell has had none.
 func (e OwnerEvent) Member() order.MemberID { return e.member }
 
@@ -325,10 +346,18 @@
 
 // emit queues an event without blocking.
 func (e *Elector) emit(event Event) {
+	if !e.offer(event) {
+		e.registry.Invariant(false, "helm_events", "ownership event dropped, the channel is full")
+	}
+}
+
+// offer queues an event unless the channel is full, and reports whether it did.
+func (e *Elector) offer(event Event) bool {
 	select {
 	case e.events <- event:
+		return true
 	default:
-		e.registry.Invariant(false, "helm_events", "ownership event dropped, the channel is full")
+		return false
 	}
 }
 
@@ -561,7 +590,7 @@
 	e.mu.Unlock()
 	e.registry.Count("helm.acquired")
 	e.log.Info().Uint64("epoch", uint64(claim.Epoch())).Uint64("version", uint64(record.Version())).Msg("helm: cell acquired")
-	e.emit(AcquiredEvent{epoch: claim.Epoch(), record: record})
+	e.emit(AcquiredEvent{epoch: claim.Epoch(), record: record, claimedAt: sent})
 	e.emit(OwnerEvent{member: claim.Member(), epoch: claim.Epoch()})
 }
 
@@ -579,15 +608,42 @@
 		err = e.replaceLease(ctx)
 	}
 	e.mu.Lock()
-	defer e.mu.Unlock()
 	e.countCall(err)
 	if err == nil {
 		e.renewedAt = sent
 		e.storeAnsweredAt = timers.Later(e.storeAnsweredAt, sent)
+	} else {
+		e.registry.Count("helm.renew_failed")
+		e.log.Warn().Err(err).Dur("store_age", e.clock.Now().Sub(e.storeAnsweredAt)).Msg("helm: lease not renewed")
+	}
+	e.mu.Unlock()
+	if err == nil {
+		e.confirm(ctx)
+	}
+}
+
+// confirm reads the ownership record. A renewed lease alone is no proof of the
+// ownership, since another process may have claimed the cell before it expired.
+func (e *Elector) confirm(ctx context.Context) {
+	limited, cancel := context.WithTimeout(ctx, e.nextCallTimeout())
+	defer cancel()
+	sent := e.clock.Now()
+	stored, err := e.store.Get(limited, ownerKey)
+	if err != nil {
+		e.registry.Count("helm.confirm_failed")
+		e.log.Debug().Err(err).Msg("helm: ownership not confirmed")
 		return
 	}
-	e.registry.Count("helm.renew_failed")
-	e.log.Warn().Err(err).Dur("store_age", e.clock.Now().Sub(e.storeAnsweredAt)).Msg("helm: lease not renewed")
+	e.mu.Lock()
+	isOwner, version, epoch := e.isOwner, e.version, e.owner.Epoch()
+	e.mu.Unlock()
+	switch {
+	case !isOwner:
+	case stored.Version() != version:
+		e.StepDown("the ownership record has changed")
+	default:
+		e.offer(ConfirmedEvent{epoch: epoch, at: sent})
+	}
 }
 
 // replaceLease grants a new lease and writes it if the ownership record is
--- a/entryhost/cell.go
+++ b/entryhost/cell.go
@@ -36,6 +36,8 @@
 				h.startCell(e)
 			case election.LostEvent:
 				h.stopCell()
+			case election.ConfirmedEvent:
+				h.sendToCell(scheduler.NewConfirmedMsg(e.Epoch(), e.At()))
 			}
 		case <-ctx.Done():
 			return nil
@@ -92,6 +94,7 @@
 func (h *Host) runCell(ctx context.Context, e election.AcquiredEvent) error {
 	started := h.clock.Now()
 	m := scheduler.New(h.self, e.Epoch(), e.Record(), h.limits, started, h.registry, h.log)
+	m.Handle(started, scheduler.NewConfirmedMsg(e.Epoch(), e.ClaimedAt()))
 	if err := h.restore(ctx, m); err != nil {
 		return err
 	}
--- a/scheduler/attempt.go
+++ b/scheduler/attempt.go
@@ -37,6 +37,11 @@
 		ref: t.ref(), run: run, task: t, worker: w, size: t.step.spec.Size(),
 		team: j.team, state: attemptSent, startedAt: now, orderedAt: now,
 	}
+	if t.run > 0 {
+		m.log.Info().Str("job", string(j.id)).Int("step", t.step.index).Int("task", t.index).Int("run", run).
+			Int("last_run", t.run).Str("worker", string(w.id)).Str("domain", string(w.info.domain)).
+			Uint64("epoch", uint64(m.epoch)).Msg("yard: task started again")
+	}
 	t.state, t.run, t.attempt = taskPlaced, run, a
 	m.allocate(a)
 	m.registry.Invariant(w.used.FitsIn(w.info.capacity), "room",
@@ -108,7 +113,7 @@
 	}
 	m.registry.Count("yard.retries." + counterName(reason))
 	m.log.Info().Str("job", string(a.ref.job)).Int("step", a.ref.step).Int("task", a.ref.index).Int("run", a.run).
-		Str("worker", string(a.worker.id)).Str("reason", reason).Msg("yard: run lost")
+		Str("worker", string(a.worker.id)).Uint64("epoch", uint64(m.epoch)).Str("reason", reason).Msg("yard: run lost")
 	m.stopGang(now, t.step, a.run)
 }
 
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -15,6 +15,7 @@
 	"chervilhollow/order"
 	"chervilhollow/policy"
 	"chervilhollow/storage"
+	"chervilhollow/timers"
 )
 
 type (
@@ -51,6 +52,10 @@
 		refusals  refusals
 		startedAt time.Time
 
+		// confirmedAt is the latest time at which no other process had owned
+		// the cell since this one claimed it.
+		confirmedAt time.Time
+
 		// headroom is the free capacity in the present round of placement.
 		headroom headroom
 
@@ -168,6 +173,13 @@
 
 	// PauseMsg pauses placement or resumes it.
 	PauseMsg struct{ paused bool }
+
+	// ConfirmedMsg reports that no other process had owned the cell at the
+	// given time since this one claimed it with the epoch.
+	ConfirmedMsg struct {
+		epoch order.Epoch
+		at    time.Time
+	}
 )
 
 // defaultRetention is how long an ended job is shown if the platform's settings
@@ -190,6 +202,7 @@
 func (PolledMsg) input()    {}
 func (CommittedMsg) input() {}
 func (PauseMsg) input()     {}
+func (ConfirmedMsg) input() {}
 
 // NewLimits returns the limits for the longest lease of a worker and for how
 // long ended jobs are shown. A retention of zero sets the default of 120 s.
@@ -237,6 +250,12 @@
 // NewPauseMsg returns the input that pauses or resumes placement.
 func NewPauseMsg(paused bool) PauseMsg { return PauseMsg{paused: paused} }
 
+// NewConfirmedMsg returns the input for a confirmation of the ownership by the
+// store. The time is that at which the call was sent.
+func NewConfirmedMsg(epoch order.Epoch, at time.Time) ConfirmedMsg {
+	return ConfirmedMsg{epoch: epoch, at: at}
+}
+
 // New returns the scheduler of a cell that this process owns at the epoch. The
 // record is the ownership record, whose key and version every commit expects.
 // The job and worker lists of earlier owners are added by Restore and
@@ -286,6 +305,10 @@
 		m.handleCommitted(now, in)
 	case PauseMsg:
 		m.paused = in.paused
+	case ConfirmedMsg:
+		if in.epoch == m.epoch {
+			m.confirmedAt = timers.Later(m.confirmedAt, in.at)
+		}
 	}
 }
 
