Reproduce tasks that run twice around a partition with two owners

The test plays two owners on the driven clock, one behind a partition with the workers of its zone, the other with the store and all other workers.

--- a/scheduler/driver_test.go
+++ b/scheduler/driver_test.go
@@ -23,6 +23,9 @@
 	now      time.Time
 	version  storage.Version
 	commands []Command
+
+	// unconfirmed reports whether the store no longer confirms the ownership.
+	unconfirmed bool
 }
 
 const (
@@ -61,7 +64,12 @@
 	d.decide()
 }
 
-func (d *driver) decide() { d.commands = append(d.commands, d.m.Decide(d.now)...) }
+func (d *driver) decide() {
+	if !d.unconfirmed {
+		d.m.Handle(d.now, NewConfirmedMsg(d.m.epoch, d.now))
+	}
+	d.commands = append(d.commands, d.m.Decide(d.now)...)
+}
 
 // advance lets time pass in steps of 20 ms and collects the commands.
 func (d *driver) advance(length time.Duration) {
--- /dev/null
+++ b/scheduler/two_owners_test.go
@@ -0,0 +1,275 @@
+package scheduler
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"chervilhollow/gauge"
+	"chervilhollow/order"
+	"chervilhollow/policy"
+	"chervilhollow/storage"
+)
+
+type (
+	// fleet holds workers that two owners can reach in part. It records the
+	// starts that must not happen.
+	fleet struct {
+		now     time.Time
+		workers map[order.WorkerID]*fleetWorker
+		runs    []*fleetRun
+		broken  []string
+	}
+
+	// fleetWorker is a worker with a fence, leases on its own clock, and ends
+	// that it keeps until they are acknowledged.
+	fleetWorker struct {
+		id     order.WorkerID
+		fence  order.Epoch
+		lease  time.Time
+		last   int64
+		ends   []EndedTask
+		lapsed map[int64]bool
+	}
+
+	// fleetRun is one run of a task at a worker.
+	fleetRun struct {
+		worker order.WorkerID
+		task   TaskRef
+		run    int
+		due    time.Time
+		number int64
+		result Result
+	}
+
+	// fleetOwner is a driver whose commands go to the workers that it reaches.
+	fleetOwner struct {
+		*driver
+		fleet   *fleet
+		reaches func(order.WorkerID) bool
+		polls   map[order.WorkerID]PollCmd
+		failing map[order.WorkerID]time.Time
+	}
+)
+
+const (
+	fleetStep     = 20 * time.Millisecond
+	fleetRunTime  = 9 * time.Second
+	fleetPollTime = time.Second + orderTimeout
+)
+
+var errCut = errors.New("no response")
+
+func newFleet(ids ...order.WorkerID) *fleet {
+	f := &fleet{now: testStart, workers: make(map[order.WorkerID]*fleetWorker)}
+	for _, id := range ids {
+		f.workers[id] = &fleetWorker{id: id, lapsed: make(map[int64]bool)}
+	}
+	return f
+}
+
+func (f *fleet) clock() int64 { return 1000 + f.now.Sub(testStart).Milliseconds() }
+
+func (f *fleet) deadline(clock int64) time.Time {
+	return testStart.Add(time.Duration(clock-1000) * time.Millisecond)
+}
+
+// start begins a run, and records it if the task may not run.
+func (f *fleet) start(w *fleetWorker, o StartOrder) error {
+	if o.epoch < w.fence {
+		return NewRefusedError(RefusedStaleEpoch, f.clock())
+	}
+	w.fence = o.epoch
+	if end := f.deadline(o.leaseEnd); end.After(w.lease) {
+		w.lease = end
+	}
+	for _, r := range f.runs {
+		if r.task != o.task {
+			continue
+		}
+		switch {
+		case r.worker == w.id && r.run == o.run:
+			return nil
+		case r.result == 0:
+			f.broken = append(f.broken, fmt.Sprintf("%v of %v at %s while run %d is at %s", o.run, o.task, w.id, r.run, r.worker))
+		case r.result == ResultDone && !f.workers[r.worker].lapsed[r.number]:
+			f.broken = append(f.broken, fmt.Sprintf("%v of %v at %s after run %d is done at %s", o.run, o.task, w.id, r.run, r.worker))
+		}
+	}
+	f.runs = append(f.runs, &fleetRun{worker: w.id, task: o.task, run: o.run, due: f.now.Add(fleetRunTime)})
+	return nil
+}
+
+// advance ends the runs that are due or whose lease has expired. An end that is
+// not acknowledged when the lease expires no longer counts.
+func (f *fleet) advance() {
+	f.now = f.now.Add(fleetStep)
+	for _, w := range f.workers {
+		expired := f.now.After(w.lease)
+		if expired {
+			for _, e := range w.ends {
+				w.lapsed[e.number] = true
+			}
+		}
+		for _, r := range f.runs {
+			switch {
+			case r.worker != w.id || r.result != 0:
+			case expired:
+				f.end(w, r, ResultLeaseExpired)
+			case !f.now.Before(r.due):
+				f.end(w, r, ResultDone)
+			}
+		}
+	}
+}
+
+func (f *fleet) end(w *fleetWorker, r *fleetRun, result Result) {
+	w.last++
+	r.result, r.number = result, w.last
+	w.ends = append(w.ends, NewEndedTask(w.last, r.task, r.run, result, ""))
+}
+
+// report answers a poll.
+func (f *fleet) report(w *fleetWorker, o PollOrder) (Report, error) {
+	if o.epoch < w.fence {
+		return Report{}, NewRefusedError(RefusedStaleEpoch, f.clock())
+	}
+	w.fence = o.epoch
+	if end := f.deadline(o.leaseEnd); end.After(w.lease) {
+		w.lease = end
+	}
+	w.ends = slices.DeleteFunc(w.ends, func(e EndedTask) bool { return e.number <= o.acked })
+	var running []RunningTask
+	for _, r := range f.runs {
+		if r.worker == w.id && r.result == 0 {
+			running = append(running, NewRunningTask(r.task, r.run, "", int(f.now.Sub(testStart).Seconds())))
+		}
+	}
+	return NewReport(f.clock(), 1, running, slices.Clone(w.ends)), nil
+}
+
+func newFleetOwner(t *testing.T, f *fleet, epoch order.Epoch) *fleetOwner {
+	d := newDriver(t, epoch)
+	registry := gauge.New(zerolog.Nop())
+	registry.SetStrict(true)
+	record := storage.NewEntry("cell/owner", nil, 1)
+	d.now, d.m = f.now, New(testMember, epoch, record, NewLimits(10*time.Second, time.Minute).WithWriteRate(400), f.now, registry, zerolog.Nop())
+	return &fleetOwner{
+		driver: d, fleet: f, reaches: func(order.WorkerID) bool { return true },
+		polls: make(map[order.WorkerID]PollCmd), failing: make(map[order.WorkerID]time.Time),
+	}
+}
+
+// step lets the owner decide and carries out its orders. Commits succeed only
+// while the store confirms the ownership.
+func (o *fleetOwner) step() {
+	o.now = o.fleet.now
+	o.decide()
+	commands := o.commands
+	o.commands = nil
+	for _, c := range commands {
+		switch c := c.(type) {
+		case StartCmd:
+			o.m.Handle(o.now, o.sendStart(c.order))
+		case StopCmd:
+			o.m.Handle(o.now, StoppedMsg{order: c.order, err: errCut})
+		case PollCmd:
+			o.polls[c.order.to.worker] = c
+			o.failing[c.order.to.worker] = o.now.Add(fleetPollTime)
+		case CommitCmd:
+			if !o.unconfirmed {
+				o.version++
+				o.m.Handle(o.now, CommittedMsg{batchID: c.batchID, version: o.version})
+			}
+		}
+	}
+	for _, id := range []order.WorkerID{"a1", "b1", "b2", "c1", "c2"} {
+		c, open := o.polls[id]
+		switch {
+		case !open:
+		case o.reaches(id):
+			delete(o.polls, id)
+			report, err := o.fleet.report(o.fleet.workers[id], c.order)
+			o.m.Handle(o.now, PolledMsg{order: c.order, sentAt: o.now, report: report, err: err})
+		case o.now.After(o.failing[id]):
+			delete(o.polls, id)
+			o.m.Handle(o.now, PolledMsg{order: c.order, sentAt: o.now, err: errCut})
+		}
+	}
+}
+
+func (o *fleetOwner) sendStart(s StartOrder) StartedMsg {
+	if !o.reaches(s.to.worker) {
+		return StartedMsg{order: s, err: ErrNotSent}
+	}
+	err := o.fleet.start(o.fleet.workers[s.to.worker], s)
+	return StartedMsg{order: s, clock: o.fleet.clock(), err: err}
+}
+
+func (o *fleetOwner) list(ids ...order.WorkerID) {
+	var infos []WorkerInfo
+	for _, id := range ids {
+		infos = append(infos, workerInfo(id, 1))
+	}
+	o.m.Handle(o.now, NewWorkersMsg(infos, nil, true))
+}
+
+// A partition with one owner on each side must not start a task twice.
+func TestNoTaskRunsTwiceAroundPartition(t *testing.T) {
+	ids := []order.WorkerID{"a1", "b1", "b2", "c1", "c2"}
+	for _, zone := range []string{"a", "b", "c"} {
+		t.Run(zone, func(t *testing.T) { playPartition(t, zone, ids) })
+	}
+}
+
+// playPartition cuts the old owner off with the workers whose ID begins with
+// the zone, while a new owner with the store reaches all others. The partition
+// ends after 16 s.
+func playPartition(t *testing.T, zone string, ids []order.WorkerID) {
+	f := newFleet(ids...)
+	inside := func(id order.WorkerID) bool { return string(id[:1]) == zone }
+	o := newFleetOwner(t, f, 1)
+	o.configure(policy.Advice{}, order.Resources{})
+	o.list(ids...)
+	play := func(length time.Duration, owners ...*fleetOwner) {
+		for end := f.now.Add(length); f.now.Before(end); {
+			f.advance()
+			for _, owner := range owners {
+				owner.step()
+			}
+		}
+	}
+	play(time.Second, o)
+	o.call(order.SubmitJob, smallStep(20), smallStep(20).WithAfter([]int{0}))
+	value, err := o.m.jobs[testJob].record().MarshalCBOR()
+	o.is.NoErr(err)
+	play(time.Second, o)
+	o.is.Equal(len(f.runs), 20)
+
+	o.unconfirmed, o.reaches = true, inside
+	play(1500*time.Millisecond, o)
+	n := newFleetOwner(t, f, 2)
+	n.reaches = func(id order.WorkerID) bool { return !inside(id) }
+	n.is.NoErr(n.m.Restore(entries(jobKey(testJob), value)))
+	var records []order.WorkerRecord
+	for _, id := range ids {
+		records = append(records, order.WorkerRecord{}.WithID(id).WithAddress("10.0.1.1:80").WithService("press"))
+	}
+	list, err := order.WorkerList{}.WithWorkers(records).MarshalCBOR()
+	n.is.NoErr(err)
+	n.is.NoErr(n.m.RestoreWorkers(entries(WorkersKey, list)[0]))
+	n.list(ids...)
+	n.configure(policy.Advice{}, order.Resources{})
+	play(16*time.Second, o, n)
+
+	n.reaches = func(order.WorkerID) bool { return true }
+	play(20*time.Second, n)
+	if len(f.broken) > 0 {
+		t.Errorf("%d starts of tasks that were running or done, first: %s", len(f.broken), f.broken[0])
+	}
+	n.is.True(n.m.jobs[testJob].complete())
+}
