Bound what an owner assumes by the store's last confirmation

Cause: an owner took the silence of a worker for the end of its runs although a successor may have adopted and renewed them, and it renewed leases without end while a successor counts with 10 s from its claim on. It went on because one linked host, behind the same partition, did not reach the store either.

Now a lease ends at most maxLease after the store last confirmed the ownership, a lease counts as lapsed only once the store has confirmed the ownership after its end, nothing starts with less than 2 s of lease, and a refusal for a later epoch ends the ownership. This works for any two owners: whatever the former one still grants ends within the time that the later one waits for workers that it can't fence.

--- a/election/elector_test.go
+++ b/election/elector_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -168,3 +169,83 @@
 	is.True(second.Epoch() > first.Epoch())
 	is.True(time.Since(began) < ownerGrace)
 }
+
+// An owner must step down once the ownership record has changed, even if its watch hears nothing.
+func TestStepsDownWhenRecordChanges(t *testing.T) {
+	is := is.New(t)
+	store := &deafStore{Memory: storage.NewMemory(timers.New())}
+	a := newElector("10.0.0.1:7000/a", store)
+	defer run(a)()
+	first := waitAcquired(t, a)
+	value, err := order.OwnerRecord{}.WithMember("10.0.0.2:7000/b").WithEpoch(first.Epoch() + 1).MarshalCBOR()
+	is.NoErr(err)
+	store.setDeaf()
+	_, err = store.Swap(context.Background(), ownerKey, first.Record().Version(), value, 0)
+	is.NoErr(err)
+	timeout := time.After(3 * renewInterval)
+	for {
+		select {
+		case e := <-a.Events():
+			if _, ok := e.(LostEvent); ok {
+				return
+			}
+		case <-timeout:
+			t.Fatal("the owner did not step down")
+		}
+	}
+}
+
+// A confirmation must not be later than the last moment at which the record was unchanged.
+func TestConfirmsOnlyWhileOwner(t *testing.T) {
+	is := is.New(t)
+	store := storage.NewMemory(timers.New())
+	a := newElector("10.0.0.1:7000/a", store)
+	defer run(a)()
+	first := waitAcquired(t, a)
+	confirmed := waitConfirmed(t, a)
+	is.Equal(confirmed.Epoch(), first.Epoch())
+	is.True(confirmed.At().After(first.ClaimedAt()))
+	store.SetOutage(true)
+	down := time.Now()
+	time.Sleep(2 * leaseTTL)
+	for len(a.Events()) > 0 {
+		if c, ok := (<-a.Events()).(ConfirmedEvent); ok {
+			is.True(!c.At().After(down))
+		}
+	}
+	store.SetOutage(false)
+	is.True(waitConfirmed(t, a).At().After(down))
+}
+
+// waitConfirmed waits until the store confirms the ownership.
+func waitConfirmed(t *testing.T, e *Elector) ConfirmedEvent {
+	t.Helper()
+	timeout := time.After(10 * time.Second)
+	for {
+		select {
+		case e := <-e.Events():
+			if c, ok := e.(ConfirmedEvent); ok {
+				return c
+			}
+		case <-timeout:
+			t.Fatal("the ownership was not confirmed")
+		}
+	}
+}
+
+// deafStore is a store whose watches return no events once it is deaf.
+type deafStore struct {
+	*storage.Memory
+	deaf atomic.Bool
+}
+
+func (s *deafStore) setDeaf() { s.deaf.Store(true) }
+
+func (s *deafStore) Watch(ctx context.Context, prefix string, after storage.Version, wait time.Duration) ([]storage.Event, storage.Version, error) {
+	events, version, err := s.Memory.Watch(ctx, prefix, after, wait)
+	if s.deaf.Load() {
+		<-ctx.Done()
+		return nil, 0, ctx.Err()
+	}
+	return events, version, err
+}
--- a/scheduler/attempt.go
+++ b/scheduler/attempt.go
@@ -170,6 +170,7 @@
 
 // handleStarted handles the result of a start order.
 func (m *Scheduler) handleStarted(now time.Time, in StartedMsg) {
+	m.checkEpoch(in.err)
 	a := m.findAttempt(in.order.to, in.order.task, in.order.run)
 	if a == nil {
 		return
@@ -231,6 +232,7 @@
 // handleStopped handles the result of a stop order. The worker's next poll is
 // due at once, since its report shows whether the run has ended.
 func (m *Scheduler) handleStopped(now time.Time, in StoppedMsg) {
+	m.checkEpoch(in.err)
 	a := m.findAttempt(in.order.to, in.order.task, in.order.run)
 	if a == nil {
 		return
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -39,10 +39,10 @@
 // capacity, the most urgent steps first.
 func (m *Scheduler) place(now time.Time) {
 	m.expireAdvice(now)
-	if m.paused || now.Before(m.nextPlacement) {
+	if m.paused || m.leaseLength(now) < minStartLease || now.Before(m.nextPlacement) {
 		return
 	}
-	recovered := m.recovered(now)
+	recovered := m.recovered()
 	m.updateUnconfirmed(now, recovered)
 	reserved := make(map[order.WorkerID]bool)
 	unplaced := 0
--- a/scheduler/runner.go
+++ b/scheduler/runner.go
@@ -121,7 +121,11 @@
 		case <-ctx.Done():
 			return nil
 		}
-		for _, cmd := range r.scheduler.Decide(r.clock.Now()) {
+		commands := r.scheduler.Decide(r.clock.Now())
+		if r.scheduler.Superseded() {
+			return ErrLost
+		}
+		for _, cmd := range commands {
 			r.execute(ctx, cmd)
 		}
 	}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -53,8 +53,10 @@
 		startedAt time.Time
 
 		// confirmedAt is the latest time at which no other process had owned
-		// the cell since this one claimed it.
+		// the cell since this one claimed it. superseded reports whether
+		// another one owns it now.
 		confirmedAt time.Time
+		superseded  bool
 
 		// headroom is the free capacity in the present round of placement.
 		headroom headroom
--- /dev/null
+++ b/scheduler/tenure.go
@@ -0,0 +1,38 @@
+package scheduler
+
+import (
+	"errors"
+	"time"
+)
+
+// minStartLease is the shortest lease with which a task is started. A shorter
+// one would mostly end before the task does.
+const minStartLease = 2 * time.Second
+
+// leaseLength returns how long a lease that is granted now may last, and zero if
+// none may be granted. A successor may have claimed the cell at any time since
+// confirmedAt, and counts with leases of its predecessor for maxLease from its
+// claim on.
+func (m *Scheduler) leaseLength(now time.Time) time.Duration {
+	return max(0, min(leaseDuration, m.limits.maxLease-now.Sub(m.confirmedAt)))
+}
+
+// lapsed reports whether all leases of the worker that this owner knows of have
+// certainly expired, and no other owner can have renewed them before: the store
+// confirmed the ownership after their end.
+func (m *Scheduler) lapsed(w *worker) bool { return !m.confirmedAt.Before(w.leaseEnd) }
+
+// checkEpoch ends the ownership if the result of an order says that the worker
+// has accepted a later epoch.
+func (m *Scheduler) checkEpoch(err error) {
+	var refused *RefusedError
+	if !errors.As(err, &refused) || refused.reason != RefusedStaleEpoch || m.superseded {
+		return
+	}
+	m.superseded = true
+	m.log.Warn().Uint64("epoch", uint64(m.epoch)).Msg("yard: a worker has accepted a later owner")
+}
+
+// Superseded reports whether another process owns the cell. No command must be
+// executed from then on.
+func (m *Scheduler) Superseded() bool { return m.superseded }
--- a/scheduler/two_owners_test.go
+++ b/scheduler/two_owners_test.go
@@ -273,3 +273,75 @@
 	}
 	n.is.True(n.m.jobs[testJob].complete())
 }
+
+// An owner without the store must not grant leases that a successor does not count with.
+func TestLeasesEndWithConfirmedOwnership(t *testing.T) {
+	d := newDriver(t, testEpoch)
+	d.configure(policy.Advice{}, order.Resources{})
+	d.addWorkers("w1")
+	d.call(order.SubmitJob, smallStep(2))
+	d.commitAll()
+	d.unconfirmed = true
+	confirmedAt := d.now
+	latest, polls := int64(0), 0
+	for d.now.Sub(confirmedAt) < 2*d.m.limits.maxLease {
+		if p, ok := d.takePoll(); ok {
+			polls++
+			latest = max(latest, p.order.leaseEnd)
+			d.feed(PolledMsg{order: p.order, sentAt: d.now, report: NewReport(1000+d.now.Sub(testStart).Milliseconds(), 1, nil, nil)})
+		}
+		d.advance(20 * time.Millisecond)
+	}
+	d.is.True(polls > 20)
+	bound := 1000 + confirmedAt.Add(d.m.limits.maxLease).Sub(testStart).Milliseconds()
+	d.is.True(latest <= bound)
+	d.is.True(latest > bound-1000) // running tasks go on through an outage of the store
+}
+
+// An owner without the store must not start tasks with a lease that is about to end.
+func TestNoStartsWithoutLease(t *testing.T) {
+	d := newDriver(t, testEpoch)
+	d.configure(policy.Advice{}, order.Resources{})
+	d.addWorkers("w1")
+	d.unconfirmed = true
+	d.m.confirmedAt = d.now.Add(-d.m.limits.maxLease)
+	d.call(order.SubmitJob, smallStep(1))
+	d.commitAll()
+	_, started := d.takeStart()
+	d.is.True(!started)
+	d.unconfirmed = false
+	d.advance(100 * time.Millisecond)
+	_, started = d.takeStart()
+	d.is.True(started)
+}
+
+// A refusal for a later epoch must end the ownership at once.
+func TestLaterEpochEndsOwnership(t *testing.T) {
+	refused := NewRefusedError(RefusedStaleEpoch, 0)
+	for name, refuse := range map[string]func(d *driver){
+		"poll": func(d *driver) {
+			p, ok := d.takePoll()
+			d.is.True(ok)
+			d.feed(PolledMsg{order: p.order, sentAt: d.now, err: refused})
+		},
+		"start": func(d *driver) {
+			s, ok := d.takeStart()
+			d.is.True(ok)
+			d.answerStart(s, refused)
+		},
+		"stop": func(d *driver) {
+			d.feed(StoppedMsg{order: StopOrder{to: d.m.workers["w1"].address(), task: NewTaskRef(testJob, 0, 0, 0), run: 1}, err: refused})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := newDriver(t, testEpoch)
+			d.configure(policy.Advice{}, order.Resources{})
+			d.addWorkers("w1")
+			d.call(order.SubmitJob, smallStep(1))
+			d.commitAll()
+			d.is.True(!d.m.Superseded())
+			refuse(d)
+			d.is.True(d.m.Superseded())
+		})
+	}
+}
--- a/scheduler/unconfirmed.go
+++ b/scheduler/unconfirmed.go
@@ -47,7 +47,7 @@
 		if key.service != "" {
 			bound, ok := bounds[key.service]
 			if !ok {
-				bound = m.unreportedCapacity(now, key.service)
+				bound = m.unreportedCapacity(key.service)
 				bounds[key.service] = bound
 			}
 			u = u.Min(bound)
@@ -60,7 +60,7 @@
 // unreportedCapacity returns the capacity of the service's workers that have not
 // reported to this owner and may hold a lease of an earlier one. A worker that
 // is no longer listed counts as large as the largest one.
-func (m *Scheduler) unreportedCapacity(now time.Time, service string) order.Resources {
+func (m *Scheduler) unreportedCapacity(service string) order.Resources {
 	var largest, total order.Resources
 	for _, w := range m.workers {
 		if w.info.service == service {
@@ -69,7 +69,7 @@
 	}
 	for _, w := range m.workers {
 		switch {
-		case w.info.service != service || w.contacted || !now.Before(w.leaseEnd):
+		case w.info.service != service || w.contacted || m.lapsed(w):
 		case w.info.capacity == order.Resources{}:
 			total = total.Plus(largest)
 		default:
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -192,7 +192,7 @@
 	}
 	w.listed, w.unlistedAt = false, now
 	m.log.Info().Str("worker", string(id)).Int("runs", len(w.attempts)).Time("lease_end", w.leaseEnd).Msg("yard: worker no longer listed")
-	if len(w.attempts) == 0 && now.After(w.leaseEnd) {
+	if len(w.attempts) == 0 && m.lapsed(w) {
 		m.removeWorker(w)
 	}
 }
@@ -259,9 +259,12 @@
 }
 
 // grantLease returns the end of a new lease on the worker's clock, and records
-// when it has certainly expired.
+// when it has certainly expired. It returns zero if no lease may be granted.
 func (m *Scheduler) grantLease(now time.Time, w *worker) int64 {
-	length := min(leaseDuration, m.limits.maxLease)
+	length := m.leaseLength(now)
+	if length == 0 {
+		return 0
+	}
 	w.leaseEnd = timers.Later(w.leaseEnd, now.Add(maxLeaseTime(length)))
 	return w.clockMillis + now.Sub(w.clockReadAt).Milliseconds() + length.Milliseconds()
 }
@@ -296,6 +299,7 @@
 
 // handlePoll handles the result of a poll.
 func (m *Scheduler) handlePoll(now time.Time, in PolledMsg) {
+	m.checkEpoch(in.err)
 	if in.order.first {
 		m.firstContacts--
 	}
@@ -450,13 +454,13 @@
 }
 
 // expireRuns ends the runs of workers that departed, and of workers without
-// contact whose last lease has expired.
+// contact whose last lease has lapsed.
 func (m *Scheduler) expireRuns(now time.Time) {
 	for _, w := range m.sortedWorkers() {
 		if w.departed() && len(w.attempts) > 0 {
 			m.dropAttempts(now, w, "worker left")
 		}
-		if now.Before(w.leaseEnd) || (w.contacted && w.missedCalls == 0) {
+		if !m.lapsed(w) || (w.contacted && w.missedCalls == 0) {
 			continue
 		}
 		if len(w.attempts) > 0 {
@@ -473,10 +477,10 @@
 }
 
 // recovered reports whether all runs that earlier owners may have started are
-// known: each worker has reported, or its last lease has expired.
-func (m *Scheduler) recovered(now time.Time) bool {
+// known: each worker has reported, or its last lease has lapsed.
+func (m *Scheduler) recovered() bool {
 	for _, w := range m.workers {
-		if !w.contacted && now.Before(w.leaseEnd) {
+		if !w.contacted && !m.lapsed(w) {
 			return false
 		}
 	}
