Count the time of a suspension in the age of the ownership

Seen by reading; no run showed it on a machine. timers.Clock.Suspended compares the clock that runs on while the machine is suspended with the steady one; each confirmation carries its value, and the scheduler adds the difference to the age of the ownership. Without that sum TestSuspensionCountsAsTimeWithoutConfirmation fails ("not true: !started").

--- a/election/elector.go
+++ b/election/elector.go
@@ -84,18 +84,22 @@
 	Event interface{ event() }
 
 	// AcquiredEvent reports that this process has become the owner, by a claim
-	// that was sent at claimedAt.
+	// that was sent at claimedAt, when the machine had been suspended for the
+	// given time.
 	AcquiredEvent struct {
 		epoch     order.Epoch
 		record    storage.Entry
 		claimedAt time.Time
+		suspended time.Duration
 	}
 
 	// ConfirmedEvent reports that the store still had this process as the owner
-	// at the time at or later.
+	// at the time at, when the machine had been suspended for the given time, or
+	// later.
 	ConfirmedEvent struct {
-		epoch order.Epoch
-		at    time.Time
+		epoch     order.Epoch
+		at        time.Time
+		suspended time.Duration
 	}
 
 	// LostEvent reports that this process is no longer the owner. There is none
@@ -179,6 +183,9 @@
 // since.
 func (e AcquiredEvent) ClaimedAt() time.Time { return e.claimedAt }
 
+// Suspended returns how long the machine had been suspended at ClaimedAt.
+func (e AcquiredEvent) Suspended() time.Duration { return e.suspended }
+
 // Epoch returns the fencing token of the ownership that was confirmed.
 func (e ConfirmedEvent) Epoch() order.Epoch { return e.epoch }
 
@@ -186,6 +193,9 @@
 // which the call was sent that the store answered.
 func (e ConfirmedEvent) At() time.Time { return e.at }
 
+// Suspended returns how long the machine had been suspended at that time.
+func (e ConfirmedEvent) Suspended() time.Duration { return e.suspended }
+
 // Member returns the owner, or an empty ID if the cell has had none.
 func (e OwnerEvent) Member() order.MemberID { return e.member }
 
@@ -545,7 +555,7 @@
 	version := e.version
 	claim := order.OwnerRecord{}.WithMember(e.self).WithEpoch(e.owner.Epoch() + 1)
 	e.mu.Unlock()
-	sent := e.clock.Now()
+	sent, suspended := e.clock.Now(), e.clock.Suspended()
 	lease, err := e.store.Grant(limited, leaseTTL)
 	if err != nil {
 		return fmt.Errorf("grant lease: %w", err)
@@ -563,7 +573,7 @@
 	if err != nil {
 		return fmt.Errorf("write ownership record: %w", err)
 	}
-	e.recordAcquired(claim, storage.NewEntry(ownerKey, value, written), lease, sent)
+	e.recordAcquired(claim, storage.NewEntry(ownerKey, value, written), lease, sent, suspended)
 	return nil
 }
 
@@ -583,14 +593,14 @@
 }
 
 // recordAcquired makes this process the owner and emits the events.
-func (e *Elector) recordAcquired(claim order.OwnerRecord, record storage.Entry, lease storage.LeaseID, sent time.Time) {
+func (e *Elector) recordAcquired(claim order.OwnerRecord, record storage.Entry, lease storage.LeaseID, sent time.Time, suspended time.Duration) {
 	e.mu.Lock()
 	e.owner, e.version, e.lease = claim, record.Version(), lease
 	e.isOwner, e.renewedAt, e.storeAnsweredAt = true, sent, sent
 	e.mu.Unlock()
 	e.registry.Count("helm.acquired")
 	e.log.Info().Uint64("epoch", uint64(claim.Epoch())).Uint64("version", uint64(record.Version())).Msg("helm: cell acquired")
-	e.emit(AcquiredEvent{epoch: claim.Epoch(), record: record, claimedAt: sent})
+	e.emit(AcquiredEvent{epoch: claim.Epoch(), record: record, claimedAt: sent, suspended: suspended})
 	e.emit(OwnerEvent{member: claim.Member(), epoch: claim.Epoch()})
 }
 
@@ -627,7 +637,7 @@
 func (e *Elector) confirm(ctx context.Context) {
 	limited, cancel := context.WithTimeout(ctx, e.nextCallTimeout())
 	defer cancel()
-	sent := e.clock.Now()
+	sent, suspended := e.clock.Now(), e.clock.Suspended()
 	stored, err := e.store.Get(limited, ownerKey)
 	if err != nil {
 		e.registry.Count("helm.confirm_failed")
@@ -642,7 +652,7 @@
 	case stored.Version() != version:
 		e.StepDown("the ownership record has changed")
 	default:
-		e.offer(ConfirmedEvent{epoch: epoch, at: sent})
+		e.offer(ConfirmedEvent{epoch: epoch, at: sent, suspended: suspended})
 	}
 }
 
--- a/entryhost/cell.go
+++ b/entryhost/cell.go
@@ -37,7 +37,7 @@
 			case election.LostEvent:
 				h.stopCell()
 			case election.ConfirmedEvent:
-				h.sendToCell(scheduler.NewConfirmedMsg(e.Epoch(), e.At()))
+				h.sendToCell(scheduler.NewConfirmedMsg(e.Epoch(), e.At(), e.Suspended()))
 			}
 		case <-ctx.Done():
 			return nil
@@ -94,7 +94,7 @@
 func (h *Host) runCell(ctx context.Context, e election.AcquiredEvent) error {
 	started := h.clock.Now()
 	m := scheduler.New(h.self, e.Epoch(), e.Record(), h.limits, started, h.registry, h.log)
-	m.Handle(started, scheduler.NewConfirmedMsg(e.Epoch(), e.ClaimedAt()))
+	m.Handle(started, scheduler.NewConfirmedMsg(e.Epoch(), e.ClaimedAt(), e.Suspended()))
 	if err := h.restore(ctx, m); err != nil {
 		return err
 	}
--- a/scheduler/driver_test.go
+++ b/scheduler/driver_test.go
@@ -66,7 +66,7 @@
 
 func (d *driver) decide() {
 	if !d.unconfirmed {
-		d.m.Handle(d.now, NewConfirmedMsg(d.m.epoch, d.now))
+		d.m.Handle(d.now, NewConfirmedMsg(d.m.epoch, d.now, d.m.suspended))
 	}
 	d.commands = append(d.commands, d.m.Decide(d.now)...)
 }
--- a/scheduler/runner.go
+++ b/scheduler/runner.go
@@ -121,6 +121,7 @@
 		case <-ctx.Done():
 			return nil
 		}
+		r.scheduler.Handle(r.clock.Now(), SuspendedMsg{total: r.clock.Suspended()})
 		commands := r.scheduler.Decide(r.clock.Now())
 		if r.scheduler.Superseded() {
 			return ErrLost
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -15,7 +15,6 @@
 	"chervilhollow/order"
 	"chervilhollow/policy"
 	"chervilhollow/storage"
-	"chervilhollow/timers"
 )
 
 type (
@@ -53,10 +52,13 @@
 		startedAt time.Time
 
 		// confirmedAt is the latest time at which no other process had owned
-		// the cell since this one claimed it. superseded reports whether
-		// another one owns it now.
-		confirmedAt time.Time
-		superseded  bool
+		// the cell since this one claimed it, and confirmedSuspended how long
+		// the machine had been suspended then. suspended is the present value.
+		// superseded reports whether another process owns the cell now.
+		confirmedAt        time.Time
+		confirmedSuspended time.Duration
+		suspended          time.Duration
+		superseded         bool
 
 		// headroom is the free capacity in the present round of placement.
 		headroom headroom
@@ -177,11 +179,16 @@
 	PauseMsg struct{ paused bool }
 
 	// ConfirmedMsg reports that no other process had owned the cell at the
-	// given time since this one claimed it with the epoch.
+	// given time since this one claimed it with the epoch. The machine had been
+	// suspended for the given time then.
 	ConfirmedMsg struct {
-		epoch order.Epoch
-		at    time.Time
+		epoch     order.Epoch
+		at        time.Time
+		suspended time.Duration
 	}
+
+	// SuspendedMsg reports how long the machine has been suspended so far.
+	SuspendedMsg struct{ total time.Duration }
 )
 
 // defaultRetention is how long an ended job is shown if the platform's settings
@@ -205,6 +212,7 @@
 func (CommittedMsg) input() {}
 func (PauseMsg) input()     {}
 func (ConfirmedMsg) input() {}
+func (SuspendedMsg) input() {}
 
 // NewLimits returns the limits for the longest lease of a worker and for how
 // long ended jobs are shown. A retention of zero sets the default of 120 s.
@@ -253,9 +261,10 @@
 func NewPauseMsg(paused bool) PauseMsg { return PauseMsg{paused: paused} }
 
 // NewConfirmedMsg returns the input for a confirmation of the ownership by the
-// store. The time is that at which the call was sent.
-func NewConfirmedMsg(epoch order.Epoch, at time.Time) ConfirmedMsg {
-	return ConfirmedMsg{epoch: epoch, at: at}
+// store. The time is that at which the call was sent, with the time for which
+// the machine had been suspended before.
+func NewConfirmedMsg(epoch order.Epoch, at time.Time, suspended time.Duration) ConfirmedMsg {
+	return ConfirmedMsg{epoch: epoch, at: at, suspended: suspended}
 }
 
 // New returns the scheduler of a cell that this process owns at the epoch. The
@@ -308,9 +317,11 @@
 	case PauseMsg:
 		m.paused = in.paused
 	case ConfirmedMsg:
-		if in.epoch == m.epoch {
-			m.confirmedAt = timers.Later(m.confirmedAt, in.at)
+		if in.epoch == m.epoch && in.at.After(m.confirmedAt) {
+			m.confirmedAt, m.confirmedSuspended = in.at, in.suspended
 		}
+	case SuspendedMsg:
+		m.suspended = in.total
 	}
 }
 
--- a/scheduler/tenure.go
+++ b/scheduler/tenure.go
@@ -14,7 +14,13 @@
 // confirmedAt, and counts with leases of its predecessor for maxLease from its
 // claim on.
 func (m *Scheduler) leaseLength(now time.Time) time.Duration {
-	return max(0, min(leaseDuration, m.limits.maxLease-now.Sub(m.confirmedAt)))
+	return max(0, min(leaseDuration, m.limits.maxLease-m.ownershipAge(now)))
+}
+
+// ownershipAge returns the time since the store last confirmed the ownership,
+// with the time for which the machine was suspended.
+func (m *Scheduler) ownershipAge(now time.Time) time.Duration {
+	return now.Sub(m.confirmedAt) + m.suspended - m.confirmedSuspended
 }
 
 // lapsed reports whether all leases of the worker that this owner knows of have
--- a/scheduler/two_owners_test.go
+++ b/scheduler/two_owners_test.go
@@ -345,3 +345,21 @@
 		})
 	}
 }
+
+// An owner whose machine was suspended must not act on a confirmation from before.
+func TestSuspensionCountsAsTimeWithoutConfirmation(t *testing.T) {
+	d := newDriver(t, testEpoch)
+	d.configure(policy.Advice{}, order.Resources{})
+	d.addWorkers("w1")
+	d.unconfirmed = true
+	d.m.Handle(d.now, SuspendedMsg{total: d.m.limits.maxLease})
+	d.call(order.SubmitJob, smallStep(1))
+	d.commitAll()
+	_, started := d.takeStart()
+	d.is.True(!started)
+	d.is.Equal(d.m.leaseLength(d.now), time.Duration(0))
+	d.unconfirmed = false
+	d.advance(100 * time.Millisecond)
+	_, started = d.takeStart()
+	d.is.True(started)
+}
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -200,7 +200,7 @@
 // resetWorker drops the runs and the state of a worker's earlier incarnation.
 func (m *Scheduler) resetWorker(now time.Time, w *worker) {
 	m.log.Info().Str("worker", string(w.id)).Int("runs", len(w.attempts)).Uint64("epoch", uint64(m.epoch)).
-		Dur("ownership_age", now.Sub(m.confirmedAt)).Msg("yard: worker restarted")
+		Dur("ownership_age", m.ownershipAge(now)).Msg("yard: worker restarted")
 	m.dropAttempts(now, w, "worker started anew")
 	w.unackedEnds, w.lastEnded, w.acked = nil, 0, 0
 	w.clockReadAt, w.contacted, w.failures = time.Time{}, false, 0
@@ -467,7 +467,7 @@
 			m.registry.Count("yard.workers.lapsed")
 			m.log.Warn().Str("worker", string(w.id)).Str("domain", string(w.info.domain)).Int("runs", len(w.attempts)).
 				Time("lease_end", w.leaseEnd).Uint64("epoch", uint64(m.epoch)).
-				Dur("ownership_age", now.Sub(m.confirmedAt)).Msg("yard: leases lapsed")
+				Dur("ownership_age", m.ownershipAge(now)).Msg("yard: leases lapsed")
 			m.dropAttempts(now, w, "lease lapsed")
 		}
 		if !w.listed && !w.polling {
--- a/timers/clock.go
+++ b/timers/clock.go
@@ -6,6 +6,8 @@
 import (
 	"sync"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 type (
@@ -22,6 +24,10 @@
 		// After returns a channel that receives the time once, after the
 		// duration.
 		After(d time.Duration) <-chan time.Time
+
+		// Suspended returns how long the machine was suspended since the clock
+		// was created. Differences of Now don't count that time.
+		Suspended() time.Duration
 	}
 
 	// Subscription delivers the ticks of one call of Subscribe.
@@ -31,11 +37,29 @@
 		once  sync.Once
 	}
 
-	realClock struct{}
+	// realClock counts from created, when the kernel's clock that runs on while
+	// the machine is suspended showed bootTime.
+	realClock struct {
+		created  time.Time
+		bootTime time.Duration
+	}
 )
 
+// suspendResolution is the shortest suspension that Suspended counts, as its two
+// clocks can't be read at the same time.
+const suspendResolution = 20 * time.Millisecond
+
 // New returns the clock of the machine.
-func New() Clock { return realClock{} }
+func New() Clock { return realClock{created: time.Now(), bootTime: bootTime()} }
+
+// bootTime reads the clock that runs on while the machine is suspended.
+func bootTime() time.Duration {
+	var t unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
+		return 0
+	}
+	return time.Duration(t.Nano())
+}
 
 // C returns the channel on which the ticks arrive. Close doesn't close it.
 func (s *Subscription) C() <-chan time.Time { return s.ticks }
@@ -55,6 +79,12 @@
 // Now implements Clock.
 func (realClock) Now() time.Time { return time.Now() }
 
+// Suspended implements Clock.
+func (c realClock) Suspended() time.Duration {
+	steady := time.Since(c.created)
+	return max(0, bootTime()-c.bootTime-steady).Truncate(suspendResolution)
+}
+
 // After implements Clock.
 func (realClock) After(d time.Duration) <-chan time.Time { return time.After(d) }
 
--- a/timers/clock_test.go
+++ b/timers/clock_test.go
@@ -56,3 +56,15 @@
 	s.Close()
 	s.Close()
 }
+
+// Guards against a suspension that passes as no time at all.
+func TestSuspendedIsNotPartOfNow(t *testing.T) {
+	is := is.New(t)
+	clock := timers.NewManual(start)
+	clock.Suspend(3 * time.Second)
+	is.Equal(clock.Now(), start)
+	is.Equal(clock.Suspended(), 3*time.Second)
+	machine := timers.New()
+	time.Sleep(50 * time.Millisecond)
+	is.Equal(machine.Suspended(), time.Duration(0))
+}
--- a/timers/manual.go
+++ b/timers/manual.go
@@ -12,6 +12,8 @@
 		mu     sync.Mutex
 		now    time.Time
 		timers map[*manualTimer]struct{}
+
+		suspended time.Duration
 	}
 
 	manualTimer struct {
@@ -48,6 +50,21 @@
 	return c
 }
 
+// Suspended implements Clock.
+func (m *Manual) Suspended() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.suspended
+}
+
+// Suspend lets the machine be suspended for the duration, which Now doesn't
+// count.
+func (m *Manual) Suspend(d time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.suspended += d
+}
+
 // Advance sets the clock forward and fires the timers that are due, in the
 // order of their due times. While a timer fires, Now is its due time.
 func (m *Manual) Advance(d time.Duration) {
