Keep with a job the definition of the queue that accepted it

Cause: a job kept only the name of its queue, and placement skipped it without a line in the log while the configuration had no queue of that name. Failed attempts were not limited then either.

The record of a job now has the definition at its acceptance, which holds while the present configuration lacks the queue.

--- a/order/schema_gen.go
+++ b/order/schema_gen.go
@@ -2634,21 +2634,110 @@
 // UnmarshalCBOR implements cbor.Unmarshaler.
 func (x *StepRecord) UnmarshalCBOR(data []byte) error { return unmarshal(data, &x.w) }
 
+type (
+	// QueueRecord is the definition of a queue at some revision.
+	QueueRecord struct{ w queueRecordWire }
+
+	queueRecordWire struct {
+		Service             string        `cbor:"1,keyasint,omitempty"`
+		Priority            int           `cbor:"2,keyasint,omitempty"`
+		Attempts            int           `cbor:"3,keyasint,omitempty"`
+		Stretch             float64       `cbor:"4,keyasint,omitempty"`
+		Target              time.Duration `cbor:"5,keyasint,omitempty"`
+		AdviceTime          time.Duration `cbor:"6,keyasint,omitempty"`
+		AdviceTimePerWorker time.Duration `cbor:"7,keyasint,omitempty"`
+		TicketValidity      time.Duration `cbor:"8,keyasint,omitempty"`
+	}
+)
+
+// Service returns the service whose workers run the tasks.
+func (x QueueRecord) Service() string { return x.w.Service }
+
+func (x QueueRecord) WithService(v string) QueueRecord {
+	x.w.Service = v
+	return x
+}
+
+// Priority returns the priority. Zero is the highest.
+func (x QueueRecord) Priority() int { return x.w.Priority }
+
+func (x QueueRecord) WithPriority(v int) QueueRecord {
+	x.w.Priority = v
+	return x
+}
+
+// Attempts returns how many failed attempts of a task make its job fail.
+func (x QueueRecord) Attempts() int { return x.w.Attempts }
+
+func (x QueueRecord) WithAttempts(v int) QueueRecord {
+	x.w.Attempts = v
+	return x
+}
+
+// Stretch returns the factor of the critical path in the objective.
+func (x QueueRecord) Stretch() float64 { return x.w.Stretch }
+
+func (x QueueRecord) WithStretch(v float64) QueueRecord {
+	x.w.Stretch = v
+	return x
+}
+
+// Target returns the constant part of the objective.
+func (x QueueRecord) Target() time.Duration { return x.w.Target }
+
+func (x QueueRecord) WithTarget(v time.Duration) QueueRecord {
+	x.w.Target = v
+	return x
+}
+
+// AdviceTime returns how long a call of the advice service takes. Zero in this
+// and the next two fields means that the queue needs no advice.
+func (x QueueRecord) AdviceTime() time.Duration { return x.w.AdviceTime }
+
+func (x QueueRecord) WithAdviceTime(v time.Duration) QueueRecord {
+	x.w.AdviceTime = v
+	return x
+}
+
+// AdviceTimePerWorker returns how much longer the call takes for each worker in
+// it.
+func (x QueueRecord) AdviceTimePerWorker() time.Duration { return x.w.AdviceTimePerWorker }
+
+func (x QueueRecord) WithAdviceTimePerWorker(v time.Duration) QueueRecord {
+	x.w.AdviceTimePerWorker = v
+	return x
+}
+
+// TicketValidity returns how long a ticket is valid.
+func (x QueueRecord) TicketValidity() time.Duration { return x.w.TicketValidity }
+
+func (x QueueRecord) WithTicketValidity(v time.Duration) QueueRecord {
+	x.w.TicketValidity = v
+	return x
+}
+
+// MarshalCBOR implements cbor.Marshaler.
+func (x QueueRecord) MarshalCBOR() ([]byte, error) { return marshal(x.w) }
+
+// UnmarshalCBOR implements cbor.Unmarshaler.
+func (x *QueueRecord) UnmarshalCBOR(data []byte) error { return unmarshal(data, &x.w) }
+
 type (
 	// JobRecord is a job as kept in the store.
 	JobRecord struct{ w jobRecordWire }
 
 	jobRecordWire struct {
-		ID       JobID        `cbor:"1,keyasint,omitempty"`
-		Queue    QueueName    `cbor:"2,keyasint,omitempty"`
-		Team     TeamName     `cbor:"3,keyasint,omitempty"`
-		Accepted time.Time    `cbor:"4,keyasint,omitempty"`
-		Epoch    Epoch        `cbor:"5,keyasint,omitempty"`
-		State    JobState     `cbor:"6,keyasint,omitempty"`
-		Spec     JobSpec      `cbor:"7,keyasint,omitempty"`
-		Steps    []StepRecord `cbor:"8,keyasint,omitempty"`
-		Ended    time.Time    `cbor:"9,keyasint,omitempty"`
-		Excess   bool         `cbor:"10,keyasint,omitempty"`
+		ID         JobID        `cbor:"1,keyasint,omitempty"`
+		Queue      QueueName    `cbor:"2,keyasint,omitempty"`
+		Team       TeamName     `cbor:"3,keyasint,omitempty"`
+		Accepted   time.Time    `cbor:"4,keyasint,omitempty"`
+		Epoch      Epoch        `cbor:"5,keyasint,omitempty"`
+		State      JobState     `cbor:"6,keyasint,omitempty"`
+		Spec       JobSpec      `cbor:"7,keyasint,omitempty"`
+		Steps      []StepRecord `cbor:"8,keyasint,omitempty"`
+		Ended      time.Time    `cbor:"9,keyasint,omitempty"`
+		Excess     bool         `cbor:"10,keyasint,omitempty"`
+		AcceptedBy QueueRecord  `cbor:"11,keyasint,omitempty"`
 	}
 )
 
@@ -2733,6 +2822,15 @@
 	return x
 }
 
+// AcceptedBy returns the definition of the queue when the job was accepted. It
+// is empty once the job has ended.
+func (x JobRecord) AcceptedBy() QueueRecord { return x.w.AcceptedBy }
+
+func (x JobRecord) WithAcceptedBy(v QueueRecord) JobRecord {
+	x.w.AcceptedBy = v
+	return x
+}
+
 // MarshalCBOR implements cbor.Marshaler.
 func (x JobRecord) MarshalCBOR() ([]byte, error) { return marshal(x.w) }
 
--- a/policy/config.go
+++ b/policy/config.go
@@ -217,6 +217,12 @@
 // Needed reports whether starts in the queue need a ticket of the service.
 func (a Advice) Needed() bool { return a != Advice{} }
 
+// CallTime returns how long a call takes that names no workers.
+func (a Advice) CallTime() time.Duration { return a.callTime }
+
+// TimePerWorker returns how much longer a call takes for each worker in it.
+func (a Advice) TimePerWorker() time.Duration { return a.timePerWorker }
+
 // Validity returns how long a ticket is valid.
 func (a Advice) Validity() time.Duration { return a.ticketValidity }
 
--- a/scheduler/advice.go
+++ b/scheduler/advice.go
@@ -174,7 +174,7 @@
 		s.advisePlanAt = now.Add(adviceRetryDelay)
 		return
 	}
-	queue, ok := m.config.Queue(s.job.queue)
+	queue, ok := m.queueOf(s.job)
 	if !ok {
 		return
 	}
--- a/scheduler/attempt.go
+++ b/scheduler/attempt.go
@@ -381,7 +381,7 @@
 	}
 	m.markDirty(s.job)
 	limit := 1
-	if q, ok := m.config.Queue(s.job.queue); ok {
+	if q, ok := m.queueOf(s.job); ok {
 		limit = q.MaxAttempts()
 	} else {
 		return
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"chervilhollow/order"
+	"chervilhollow/policy"
 	"chervilhollow/storage"
 )
 
@@ -22,6 +23,9 @@
 		steps    []*step
 		ended    time.Time
 
+		// acceptedBy is the queue as defined when it accepted the job.
+		acceptedBy policy.Queue
+
 		// started reports whether any task was ever started.
 		started bool
 
@@ -293,7 +297,45 @@
 			steps = append(steps, sr)
 		}
 	}
-	return r.WithSpec(j.spec).WithSteps(steps)
+	return r.WithSpec(j.spec).WithSteps(steps).WithAcceptedBy(queueRecord(j.acceptedBy))
+}
+
+// queueRecord returns the definition of a queue as it is stored.
+func queueRecord(q policy.Queue) order.QueueRecord {
+	return order.QueueRecord{}.WithService(q.Service()).WithPriority(q.Priority()).WithAttempts(q.MaxAttempts()).
+		WithStretch(q.Stretch()).WithTarget(q.Target()).WithAdviceTime(q.Advice().CallTime()).
+		WithAdviceTimePerWorker(q.Advice().TimePerWorker()).WithTicketValidity(q.Advice().Validity())
+}
+
+// restoreQueue returns the queue of a stored definition.
+func restoreQueue(name order.QueueName, r order.QueueRecord) policy.Queue {
+	return policy.NewQueue(name, "", "", r.Service()).WithPriority(r.Priority()).WithAttempts(r.Attempts()).
+		WithObjective(r.Stretch(), r.Target()).
+		WithAdvice(policy.NewAdvice(r.AdviceTime(), r.AdviceTimePerWorker(), r.TicketValidity()))
+}
+
+// queueOf returns the job's queue by the present configuration, or as it was
+// defined when it accepted the job if it has been removed since. It reports
+// false if a job of an earlier version lacks that definition.
+func (m *Scheduler) queueOf(j *job) (policy.Queue, bool) {
+	if q, ok := m.config.Queue(j.queue); ok {
+		return q, true
+	}
+	return j.acceptedBy, j.acceptedBy.Service() != ""
+}
+
+// logRemovedQueues logs the jobs whose queue the present configuration lacks.
+func (m *Scheduler) logRemovedQueues() {
+	count := make(map[order.QueueName]int)
+	for _, j := range m.active {
+		if _, ok := m.config.Queue(j.queue); !ok {
+			count[j.queue]++
+		}
+	}
+	for name, jobs := range count {
+		m.log.Info().Str("queue", string(name)).Int("jobs", jobs).Uint64("revision", uint64(m.config.Revision())).
+			Msg("yard: queue removed, its jobs go on as accepted")
+	}
 }
 
 // record returns the progress of the step, and whether it has any.
@@ -329,6 +371,7 @@
 	j := newJob(r.ID(), r.Queue(), r.Team(), r.Spec(), r.Accepted(), r.Epoch())
 	j.state, j.storedState, j.ended = r.State(), r.State(), r.Ended()
 	j.version, j.persisted, j.excess = version, true, r.Excess()
+	j.acceptedBy = restoreQueue(r.Queue(), r.AcceptedBy())
 	for _, sr := range r.Steps() {
 		s := j.step(sr.Occurrence(), sr.Step())
 		if s == nil {
--- a/scheduler/pending.go
+++ b/scheduler/pending.go
@@ -58,7 +58,7 @@
 func (m *Scheduler) pendingSteps(now time.Time, recovered bool) []pendingStep {
 	var list []pendingStep
 	for _, j := range m.active {
-		q, ok := m.config.Queue(j.queue)
+		q, ok := m.queueOf(j)
 		if !ok || (j.epoch < m.epoch && !recovered) {
 			continue
 		}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -349,6 +349,7 @@
 	}
 	if in.config != nil {
 		m.config = in.config
+		m.logRemovedQueues()
 	}
 	clear(m.withdrawn)
 	for _, d := range in.withdrawn {
--- a/scheduler/submit.go
+++ b/scheduler/submit.go
@@ -80,6 +80,7 @@
 		return
 	}
 	j := newJob(id, queue.Name(), team, c.Spec(), now, m.epoch)
+	j.acceptedBy = queue
 	j.excess = !m.takeShare(now, team)
 	m.jobs[id] = j
 	m.active[id] = j
--- a/scheduler/unconfirmed.go
+++ b/scheduler/unconfirmed.go
@@ -36,7 +36,7 @@
 			continue
 		}
 		key := share{team: j.team}
-		if q, ok := m.config.Queue(j.queue); ok {
+		if q, ok := m.queueOf(j); ok {
 			key.service = q.Service()
 		}
 		most[key] = most[key].Plus(j.mostWaiting(now))
