--- a/scheduler/advice_test.go
+++ b/scheduler/advice_test.go
@@ -30,9 +30,7 @@
 	}
 	d.feed(NewWorkersMsg(infos, nil, false))
 	d.commitAll()
-	for _, id := range ids {
-		d.answerPoll(id, nil, nil)
-	}
+	d.answerFirstPolls(ids)
 	return d
 }
 
--- a/scheduler/driver_test.go
+++ b/scheduler/driver_test.go
@@ -91,11 +91,37 @@
 		d.feed(NewWorkersMsg([]WorkerInfo{workerInfo(id, 1)}, nil, false))
 	}
 	d.commitAll()
+	d.answerFirstPolls(ids)
+}
+
+// answerFirstPolls answers the first poll of each worker, in the order in which
+// they are sent.
+func (d *driver) answerFirstPolls(ids []order.WorkerID) {
+	d.t.Helper()
+	waiting := make(map[order.WorkerID]bool, len(ids))
 	for _, id := range ids {
+		waiting[id] = true
+	}
+	for len(waiting) > 0 {
+		id, ok := d.openPoll(waiting)
+		if !ok {
+			d.t.Fatalf("no open poll of %d workers", len(waiting))
+		}
+		delete(waiting, id)
 		d.answerPoll(id, nil, nil)
 	}
 }
 
+// openPoll returns a worker of the set that has an open poll.
+func (d *driver) openPoll(ids map[order.WorkerID]bool) (order.WorkerID, bool) {
+	for _, c := range d.commands {
+		if poll, ok := c.(PollCmd); ok && ids[poll.order.to.worker] {
+			return poll.order.to.worker, true
+		}
+	}
+	return "", false
+}
+
 // answerPoll answers the open poll of a worker.
 func (d *driver) answerPoll(id order.WorkerID, running []RunningTask, ended []EndedTask) {
 	d.t.Helper()
