--- a/scheduler/bench_test.go
+++ b/scheduler/bench_test.go
@@ -23,6 +23,7 @@
 	b.ReportAllocs()
 	for b.Loop() {
 		d.now = d.now.Add(placeInterval + 100*placeIntervalPerStep)
+		d.confirm()
 		d.m.hosts[testMember].busyUntil = d.now.Add(q.Advice().Duration(maxAdviceWorkers) + adviceTimeout)
 		d.m.place(d.now)
 	}
@@ -58,6 +59,7 @@
 	b.ReportAllocs()
 	for b.Loop() {
 		d.now = d.now.Add(placeInterval + 100*placeIntervalPerStep)
+		d.confirm()
 		d.m.place(d.now)
 		if len(d.m.commands) > 0 {
 			b.StopTimer()
--- a/scheduler/driver_test.go
+++ b/scheduler/driver_test.go
@@ -66,11 +66,16 @@
 
 func (d *driver) decide() {
 	if !d.unconfirmed {
-		d.m.Handle(d.now, NewConfirmedMsg(d.m.epoch, d.now, d.m.suspended))
+		d.confirm()
 	}
 	d.commands = append(d.commands, d.m.Decide(d.now)...)
 }
 
+// confirm lets the store confirm the ownership.
+func (d *driver) confirm() {
+	d.m.Handle(d.now, NewConfirmedMsg(d.m.epoch, d.now, d.m.suspended))
+}
+
 // advance lets time pass in steps of 20 ms and collects the commands.
 func (d *driver) advance(length time.Duration) {
 	for end := d.now.Add(length); d.now.Before(end); {
