Reserve no workers for a gang that could not start on them anyway

Cause: a gang that found no room reserved the likely workers in each round, also if it would not fit on empty ones. It now reserves only if it would fit once all runs have ended that end by themselves; long-running tasks keep their room. The wait is logged as gang_too_large.

TestGangWithoutRoomReservesNothing failed before in both cases ("0 != 2").

--- a/scheduler/gang.go
+++ b/scheduler/gang.go
@@ -38,22 +38,57 @@
 // reserveForGang reserves the workers that a gang is to get, so that less
 // urgent steps do not use their capacity in this round, and requests the
 // tickets that the gang lacks. If the gang fits nowhere yet, it reserves the
-// workers that are likely to have capacity for it first.
+// workers that are likely to have capacity for it first. A gang that could not
+// start even if all other work ended reserves nothing.
 func (m *Scheduler) reserveForGang(now time.Time, p pendingStep, feasible []*worker, reserved map[order.WorkerID]bool) {
 	chosen := m.assignGang(p.step, feasible, reserved)
-	if chosen == nil {
+	switch {
+	case chosen != nil:
+		m.recordWait(now, p, "tickets", len(feasible))
+	case m.fitsOnceFree(now, p):
 		m.recordWait(now, p, "gang_room", len(feasible))
-		m.requestMoreAdvice(now, p)
 		chosen = m.likelyWorkers(p.step, feasible, reserved)
-	} else {
-		m.recordWait(now, p, "tickets", len(feasible))
-		m.requestMoreAdvice(now, p)
+	default:
+		m.recordWait(now, p, "gang_too_large", len(feasible))
 	}
+	m.requestMoreAdvice(now, p)
 	for _, w := range chosen {
 		reserved[w.id] = true
 	}
 }
 
+// fitsOnceFree reports whether the gang would fit if all runs ended that end by
+// themselves. Workers that the advice service has not been asked about count as
+// allowed.
+func (m *Scheduler) fitsOnceFree(now time.Time, p pendingStep) bool {
+	s := p.step
+	missing := len(s.tasks)
+	for _, w := range m.sortedWorkers() {
+		if !m.schedulable(now, w, p.queue.Service()) || !m.feasible(w, s) {
+			continue
+		}
+		if _, ok := s.tickets[w.id]; p.queue.Advice().Needed() && !ok && s.requestedWorkers[w.id] {
+			continue
+		}
+		missing -= s.roomIn(w.info.capacity.Minus(w.lastingUse()), 0)
+		if missing <= 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// lastingUse returns what the long-running tasks on the worker use.
+func (w *worker) lastingUse() order.Resources {
+	var used order.Resources
+	for _, a := range w.attempts {
+		if a.task != nil && a.task.step.spec.Lasting() {
+			used = used.Plus(a.size)
+		}
+	}
+	return used
+}
+
 // likelyWorkers returns the workers with the most free capacity, as many as the
 // gang would need if each took a task more than it has room for. Less urgent
 // steps may use the others.
@@ -123,10 +158,15 @@
 
 // room returns how many tasks of the step the worker can start now.
 func (w *worker) room(s *step) int {
-	size, free := s.spec.Size(), w.info.capacity.Minus(w.used)
-	room := len(s.tasks)
+	return s.roomIn(w.info.capacity.Minus(w.used), s.tasksOn(w))
+}
+
+// roomIn returns how many more tasks of the step fit into the free resources of
+// a worker on which the given number of them take up capacity.
+func (s *step) roomIn(free order.Resources, present int) int {
+	size, room := s.spec.Size(), len(s.tasks)
 	if limit := s.spec.PerWorker(); limit > 0 {
-		room = min(room, limit-s.tasksOn(w))
+		room = min(room, limit-present)
 	}
 	if cores := size.Cores(); cores > 0 {
 		room = min(room, int(free.Cores()/cores))
--- a/scheduler/gang_test.go
+++ b/scheduler/gang_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"chervilhollow/order"
 	"chervilhollow/policy"
@@ -44,6 +45,31 @@
 	d.is.True(full >= 8) // the emptiest workers are kept for the gang
 }
 
+// A gang that cannot fit must not keep workers from other steps, whether capacity was lost or long-running tasks hold it.
+func TestGangWithoutRoomReservesNothing(t *testing.T) {
+	gang := func(tasks int) order.JobStep {
+		return order.JobStep{}.WithTasks(tasks).WithSize(order.NewResources(4000, 1<<20, 0)).WithEstimate(time.Second).WithGang(true)
+	}
+	for name, prepare := range map[string]func(d *driver){
+		"too wide for the fleet": func(d *driver) { d.submit(1, gang(5)) },
+		"beside lasting tasks": func(d *driver) {
+			d.submit(3, smallStep(2).WithLasting(true).WithPerWorker(1))
+			d.commitAll()
+			d.submit(1, gang(4))
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := newAdviceDriver(t, policy.Advice{}, 0, 2)
+			prepare(d)
+			d.commitAll()
+			d.submit(2, smallStep(2))
+			d.commitAll()
+			d.is.Equal(d.startedOf(jobID(1)), 0)
+			d.is.Equal(d.startedOf(jobID(2)), 2)
+		})
+	}
+}
+
 // A new owner must not poll all workers of a large cell at once: the calls that
 // clients wait for would queue behind them.
 func TestContactsWorkersInWaves(t *testing.T) {
