Start nothing that a successor may have cancelled

Cause: the owner that the store no longer hears can't know of cancellations that its successor has acknowledged, and started tasks for as long as it had leases to grant. It now starts none once the last confirmation is as old as the platform's bound on starts after a cancellation: what was acknowledged after the confirmation still allows starts for that long. The bound is a setting, limits.cancel.

TestNoStartsOnceSuccessorMayHaveCancelled failed before for a step whose turn comes 4 s after the last confirmation (started, want not).

--- a/cmd/host/main.go
+++ b/cmd/host/main.go
@@ -87,7 +87,8 @@
 
 func serve(s settings.Host, registry *gauge.Registry, log zerolog.Logger, reload func()) error {
 	registry.SetLog(log)
-	limits := scheduler.NewLimits(s.MaxLease(), s.KeepEnded()).WithWriteRate(s.StoreWrites())
+	limits := scheduler.NewLimits(s.MaxLease(), s.KeepEnded()).WithWriteRate(s.StoreWrites()).
+		WithCancelBound(s.CancelBound())
 	deps := entryhost.NewDependencies(platform.NewStoreClient(s.StoreAddress(), registry), platform.NewWorkerClient(),
 		platform.NewAdviceClient(s.AdviceAddress()), platform.Decoder{})
 	host := entryhost.New(s.PeerAddress(), s.FailureDomain(), s.PeerSecret(), deps, limits, timers.New(), registry, log,
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -39,7 +39,7 @@
 // capacity, the most urgent steps first.
 func (m *Scheduler) place(now time.Time) {
 	m.expireAdvice(now)
-	if m.paused || m.leaseLength(now) < minStartLease || now.Before(m.nextPlacement) {
+	if !m.mayStart(now) || now.Before(m.nextPlacement) {
 		return
 	}
 	recovered := m.recovered()
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -80,11 +80,13 @@
 	}
 
 	// Limits are set by the platform: the longest lease of a worker, how long
-	// ended jobs are shown, and how many writes a second the store takes (zero
-	// if unknown).
+	// ended jobs are shown, how long after the answer to a cancellation tasks of
+	// the job may still start, and how many writes a second the store takes
+	// (zero if unknown).
 	Limits struct {
 		maxLease        time.Duration
 		retention       time.Duration
+		cancelBound     time.Duration
 		writesPerSecond float64
 	}
 
@@ -191,9 +193,15 @@
 	SuspendedMsg struct{ total time.Duration }
 )
 
-// defaultRetention is how long an ended job is shown if the platform's settings
-// set none.
-const defaultRetention = 120 * time.Second
+const (
+	// defaultRetention is how long an ended job is shown if the platform's
+	// settings set none.
+	defaultRetention = 120 * time.Second
+
+	// defaultCancelBound is how long after the answer to a cancellation tasks
+	// may still start, if the settings set no other bound.
+	defaultCancelBound = 3 * time.Second
+)
 
 func (StartCmd) command()  {}
 func (StopCmd) command()   {}
@@ -220,7 +228,14 @@
 	if retention <= 0 {
 		retention = defaultRetention
 	}
-	return Limits{maxLease: maxLease, retention: retention}
+	return Limits{maxLease: maxLease, retention: retention, cancelBound: defaultCancelBound}
+}
+
+// WithCancelBound returns a copy with the time after the answer to a
+// cancellation in which tasks of the job may still start.
+func (l Limits) WithCancelBound(bound time.Duration) Limits {
+	l.cancelBound = bound
+	return l
 }
 
 // WithWriteRate returns a copy with the writes a second that the store
--- a/scheduler/tenure.go
+++ b/scheduler/tenure.go
@@ -5,10 +5,6 @@
 	"time"
 )
 
-// minStartLease is the shortest lease with which a task is started. A shorter
-// one would mostly end before the task does.
-const minStartLease = 2 * time.Second
-
 // leaseLength returns how long a lease that is granted now may last, and zero if
 // none may be granted. A successor may have claimed the cell at any time since
 // confirmedAt, and counts with leases of its predecessor for maxLease from its
@@ -23,6 +19,12 @@
 	return now.Sub(m.confirmedAt) + m.suspended - m.confirmedSuspended
 }
 
+// mayStart reports whether tasks may be started. A successor that claimed right
+// after the last confirmation may have acknowledged that a job is cancelled.
+func (m *Scheduler) mayStart(now time.Time) bool {
+	return !m.paused && m.ownershipAge(now) < m.limits.cancelBound && m.leaseLength(now) > 0
+}
+
 // lapsed reports whether all leases of the worker that this owner knows of have
 // certainly expired, and no other owner can have renewed them before: the store
 // confirmed the ownership after their end.
--- a/scheduler/two_owners_test.go
+++ b/scheduler/two_owners_test.go
@@ -298,21 +298,29 @@
 	d.is.True(latest > bound-1000) // running tasks go on through an outage of the store
 }
 
-// An owner without the store must not start tasks with a lease that is about to end.
-func TestNoStartsWithoutLease(t *testing.T) {
-	d := newDriver(t, testEpoch)
-	d.configure(policy.Advice{}, order.Resources{})
-	d.addWorkers("w1")
-	d.unconfirmed = true
-	d.m.confirmedAt = d.now.Add(-d.m.limits.maxLease)
-	d.call(order.SubmitJob, smallStep(1))
-	d.commitAll()
-	_, started := d.takeStart()
-	d.is.True(!started)
-	d.unconfirmed = false
-	d.advance(100 * time.Millisecond)
-	_, started = d.takeStart()
-	d.is.True(started)
+// An owner without the store must not start tasks that a successor may have cancelled.
+func TestNoStartsOnceSuccessorMayHaveCancelled(t *testing.T) {
+	for after, want := range map[time.Duration]bool{2 * time.Second: true, 4 * time.Second: false} {
+		t.Run(after.String(), func(t *testing.T) {
+			d := newDriver(t, testEpoch)
+			d.configure(policy.Advice{}, order.Resources{})
+			d.addWorkers("w1")
+			d.call(order.SubmitJob, smallStep(1), smallStep(1).WithAfter([]int{0}))
+			d.commitAll()
+			s, ok := d.takeStart()
+			d.is.True(ok)
+			d.answerStart(s, nil)
+			d.unconfirmed = true
+			d.advance(after)
+			d.answerPoll("w1", nil, []EndedTask{NewEndedTask(1, s.order.task, 1, ResultDone, "")})
+			d.advance(100 * time.Millisecond)
+			_, started := d.takeStart()
+			d.is.Equal(started, want)
+			d.unconfirmed = false
+			d.advance(100 * time.Millisecond)
+			d.is.True(started || d.startedOf(testJob) == 1)
+		})
+	}
 }
 
 // A refusal for a later epoch must end the ownership at once.
--- a/settings/host.go
+++ b/settings/host.go
@@ -40,6 +40,7 @@
 	hostLimits struct {
 		MaxLease    Duration `json:"max_lease" help:"longest lease of a worker"`
 		KeepEnded   Duration `json:"keep_ended" help:"time that ended jobs are shown"`
+		Cancel      Duration `json:"cancel" help:"time after the answer to a cancellation in which tasks of the job may still start"`
 		StoreWrites float64  `json:"store_writes" help:"writes a second that the store takes from all hosts together"`
 	}
 )
@@ -59,6 +60,7 @@
 		Limits: hostLimits{
 			MaxLease:    Duration(10 * time.Second),
 			KeepEnded:   Duration(2 * time.Minute),
+			Cancel:      Duration(3 * time.Second),
 			StoreWrites: defaultStoreWrites,
 		},
 	}
@@ -108,6 +110,7 @@
 	c.Positive("machine.memory_mebibytes", float64(fields.Machine.MemoryMebibytes))
 	c.Positive("limits.max_lease", float64(fields.Limits.MaxLease))
 	c.Positive("limits.keep_ended", float64(fields.Limits.KeepEnded))
+	c.Positive("limits.cancel", float64(fields.Limits.Cancel))
 	c.Positive("limits.store_writes", fields.Limits.StoreWrites)
 	return Host{raw: fields}, c.Err()
 }
@@ -182,6 +185,10 @@
 // MaxLease returns the longest lease of a worker.
 func (s Host) MaxLease() time.Duration { return time.Duration(s.raw.Limits.MaxLease) }
 
+// CancelBound returns how long after the answer to a cancellation tasks of the
+// job may still start.
+func (s Host) CancelBound() time.Duration { return time.Duration(s.raw.Limits.Cancel) }
+
 // StoreWrites returns how many writes per second the store accepts from all
 // entry hosts together.
 func (s Host) StoreWrites() float64 { return s.raw.Limits.StoreWrites }
