--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -39,7 +39,9 @@
 // capacity, the most urgent steps first.
 func (m *Scheduler) place(now time.Time) {
 	m.expireAdvice(now)
-	if !m.mayStart(now) || now.Before(m.nextPlacement) {
+	mayStart := m.mayStart(now)
+	m.logStarts(now, mayStart)
+	if !mayStart || now.Before(m.nextPlacement) {
 		return
 	}
 	recovered := m.recovered()
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -67,8 +67,11 @@
 		firstContacts int
 
 		// nextPlacement is the earliest time of the next round of placement.
+		// paused is the last PauseMsg, and startsHeld reports whether the last
+		// round was left out because no task may be started.
 		nextPlacement time.Time
 		paused        bool
+		startsHeld    bool
 		commands      []Command
 	}
 
--- a/scheduler/tenure.go
+++ b/scheduler/tenure.go
@@ -25,6 +25,17 @@
 	return !m.paused && m.ownershipAge(now) < m.limits.cancelBound && m.leaseLength(now) > 0
 }
 
+// logStarts logs when the owner stops starting tasks, and when it starts some
+// again.
+func (m *Scheduler) logStarts(now time.Time, allowed bool) {
+	if allowed == !m.startsHeld {
+		return
+	}
+	m.startsHeld = !allowed
+	m.log.Warn().Bool("allowed", allowed).Bool("paused", m.paused).Dur("ownership_age", m.ownershipAge(now)).
+		Uint64("epoch", uint64(m.epoch)).Msg("yard: starts of tasks")
+}
+
 // lapsed reports whether all leases of the worker that this owner knows of have
 // certainly expired, and no other owner can have renewed them before: the store
 // confirmed the ownership after their end.
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -325,7 +325,8 @@
 	}
 	if !w.contacted || w.missedCalls > 0 {
 		m.log.Info().Str("worker", string(w.id)).Int("running", len(in.report.running)).
-			Int("ended", len(in.report.ended)).Msg("yard: contact with worker established")
+			Int("ended", len(in.report.ended)).Int("known", len(w.attempts)).Uint64("epoch", uint64(m.epoch)).
+			Msg("yard: contact with worker established")
 	}
 	w.missedCalls, w.connRefused, w.unresponsive = 0, false, false
 	w.contacted, w.lastReportAt = true, now
