Let stored batches confirm the ownership

What callers could have seen: nothing starts at an owner whose reads the store refuses for 3 s or more while it takes its batches, since only reads of the record counted as a confirmation. Each batch expects the record, so that a stored one proves as much. TestStoredBatchConfirmsOwnership; it fails without the line in handleCommitted.

--- a/scheduler/commit.go
+++ b/scheduler/commit.go
@@ -10,10 +10,13 @@
 )
 
 type (
-	// commitResult is the result of one attempt to store a batch.
+	// commitResult is the result of one attempt to store a batch, which was sent
+	// at sentAt, when the machine had been suspended for the given time.
 	commitResult struct {
-		version storage.Version
-		err     error
+		version   storage.Version
+		err       error
+		sentAt    time.Time
+		suspended time.Duration
 	}
 )
 
@@ -50,9 +53,9 @@
 	attempt := func() {
 		uncertain++
 		r.spawn(func() {
-			version, err := r.tryCommit(ctx, cmd.batch)
+			res := r.tryCommit(ctx, cmd.batch)
 			select {
-			case results <- commitResult{version, err}:
+			case results <- res:
 			case <-done:
 			}
 		})
@@ -79,7 +82,7 @@
 			}
 			if res.err == nil {
 				r.failingSince.Store(nil)
-				r.deliver(ctx, CommittedMsg{batchID: cmd.batchID, version: res.version})
+				r.deliver(ctx, CommittedMsg{batchID: cmd.batchID, version: res.version, sentAt: res.sentAt, suspended: res.suspended})
 				return
 			}
 			r.recordFailing()
@@ -113,10 +116,12 @@
 }
 
 // tryCommit sends the batch once.
-func (r *Runner) tryCommit(ctx context.Context, batch storage.Batch) (storage.Version, error) {
+func (r *Runner) tryCommit(ctx context.Context, batch storage.Batch) commitResult {
 	limited, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
-	return r.store.Commit(limited, batch)
+	res := commitResult{sentAt: r.clock.Now(), suspended: r.clock.Suspended()}
+	res.version, res.err = r.store.Commit(limited, batch)
+	return res
 }
 
 // StoreFailingFor returns the time since the first commit that failed after the
--- a/scheduler/journal.go
+++ b/scheduler/journal.go
@@ -307,6 +307,8 @@
 	}
 	delete(m.journal.inFlight, in.batchID)
 	m.journal.lastStored = now
+	// The store accepts a batch only while the ownership record is unchanged.
+	m.confirm(in.sentAt, in.suspended)
 	if f.workers != nil {
 		m.journal.workersVersion, m.journal.workersInFlight = in.version, false
 	}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -174,10 +174,14 @@
 		err    error
 	}
 
-	// CommittedMsg reports that the batch of a CommitCmd was stored.
+	// CommittedMsg reports that the batch of a CommitCmd was stored. The call
+	// that showed it was sent at sentAt, when the machine had been suspended for
+	// the given time.
 	CommittedMsg struct {
-		batchID int
-		version storage.Version
+		batchID   int
+		version   storage.Version
+		sentAt    time.Time
+		suspended time.Duration
 	}
 
 	// PauseMsg pauses placement or resumes it.
@@ -335,8 +339,8 @@
 	case PauseMsg:
 		m.paused = in.paused
 	case ConfirmedMsg:
-		if in.epoch == m.epoch && in.at.After(m.confirmedAt) {
-			m.confirmedAt, m.confirmedSuspended = in.at, in.suspended
+		if in.epoch == m.epoch {
+			m.confirm(in.at, in.suspended)
 		}
 	case SuspendedMsg:
 		m.suspended = in.total
--- a/scheduler/tenure.go
+++ b/scheduler/tenure.go
@@ -5,6 +5,13 @@
 	"time"
 )
 
+// confirm records that no other process had owned the cell at the given time.
+func (m *Scheduler) confirm(at time.Time, suspended time.Duration) {
+	if at.After(m.confirmedAt) {
+		m.confirmedAt, m.confirmedSuspended = at, suspended
+	}
+}
+
 // leaseLength returns how long a lease that is granted now may last, and zero if
 // none may be granted. A successor may have claimed the cell at any time since
 // confirmedAt, and counts with leases of its predecessor for maxLease from its
--- a/scheduler/two_owners_test.go
+++ b/scheduler/two_owners_test.go
@@ -323,6 +323,22 @@
 	}
 }
 
+// A stored batch must count as a confirmation: reads of the record may be refused while writes are served.
+func TestStoredBatchConfirmsOwnership(t *testing.T) {
+	d := newDriver(t, testEpoch)
+	d.configure(policy.Advice{}, order.Resources{})
+	d.addWorkers("w1")
+	d.unconfirmed = true
+	d.advance(5 * time.Second)
+	d.is.True(!d.m.mayStart(d.now))
+	d.call(order.SubmitJob, smallStep(1))
+	d.advance(2 * flushInterval)
+	c, ok := d.takeCommit()
+	d.is.True(ok)
+	d.feed(CommittedMsg{batchID: c.batchID, version: 11, sentAt: d.now})
+	d.is.True(d.m.mayStart(d.now))
+}
+
 // A refusal for a later epoch must end the ownership at once.
 func TestLaterEpochEndsOwnership(t *testing.T) {
 	refused := NewRefusedError(RefusedStaleEpoch, 0)
