--- a/election/elector.go
+++ b/election/elector.go
@@ -79,14 +79,27 @@
 		failedCalls int
 	}
 
-	// Event is a change of the ownership: an AcquiredEvent, a LostEvent or an
-	// OwnerEvent.
+	// Event is a change of the ownership: an AcquiredEvent, a LostEvent, an
+	// OwnerEvent or a ConfirmedEvent.
 	Event interface{ event() }
 
-	// AcquiredEvent reports that this process has become the owner.
+	// AcquiredEvent reports that this process has become the owner, by a claim
+	// that was sent at claimedAt, when the machine had been suspended for the
+	// given time.
 	AcquiredEvent struct {
-		epoch  order.Epoch
-		record storage.Entry
+		epoch     order.Epoch
+		record    storage.Entry
+		claimedAt time.Time
+		suspended time.Duration
+	}
+
+	// ConfirmedEvent reports that the store still had this process as the owner
+	// at the time at, when the machine had been suspended for the given time, or
+	// later.
+	ConfirmedEvent struct {
+		epoch     order.Epoch
+		at        time.Time
+		suspended time.Duration
 	}
 
 	// LostEvent reports that this process is no longer the owner. There is none
@@ -154,9 +167,10 @@
 	reclaimDelay    = 100 * time.Millisecond
 )
 
-func (AcquiredEvent) event() {}
-func (LostEvent) event()     {}
-func (OwnerEvent) event()    {}
+func (AcquiredEvent) event()  {}
+func (LostEvent) event()      {}
+func (OwnerEvent) event()     {}
+func (ConfirmedEvent) event() {}
 
 // Epoch returns the fencing token of this ownership.
 func (e AcquiredEvent) Epoch() order.Epoch { return e.epoch }
@@ -165,6 +179,23 @@
 // its version, so that it fails once another process is the owner.
 func (e AcquiredEvent) Record() storage.Entry { return e.record }
 
+// ClaimedAt returns when the claim was sent. No other process has owned the cell
+// since.
+func (e AcquiredEvent) ClaimedAt() time.Time { return e.claimedAt }
+
+// Suspended returns how long the machine had been suspended at ClaimedAt.
+func (e AcquiredEvent) Suspended() time.Duration { return e.suspended }
+
+// Epoch returns the fencing token of the ownership that was confirmed.
+func (e ConfirmedEvent) Epoch() order.Epoch { return e.epoch }
+
+// At returns a time at which this process still was the only owner: the one at
+// which the call was sent that the store answered.
+func (e ConfirmedEvent) At() time.Time { return e.at }
+
+// Suspended returns how long the machine had been suspended at that time.
+func (e ConfirmedEvent) Suspended() time.Duration { return e.suspended }
+
 // Member returns the owner, or an empty ID if the cell has had none.
 func (e OwnerEvent) Member() order.MemberID { return e.member }
 
@@ -325,10 +356,18 @@
 
 // emit queues an event without blocking.
 func (e *Elector) emit(event Event) {
+	if !e.offer(event) {
+		e.registry.Invariant(false, "helm_events", "ownership event dropped, the channel is full")
+	}
+}
+
+// offer queues an event unless the channel is full, and reports whether it did.
+func (e *Elector) offer(event Event) bool {
 	select {
 	case e.events <- event:
+		return true
 	default:
-		e.registry.Invariant(false, "helm_events", "ownership event dropped, the channel is full")
+		return false
 	}
 }
 
@@ -516,7 +555,7 @@
 	version := e.version
 	claim := order.OwnerRecord{}.WithMember(e.self).WithEpoch(e.owner.Epoch() + 1)
 	e.mu.Unlock()
-	sent := e.clock.Now()
+	sent, suspended := e.clock.Now(), e.clock.Suspended()
 	lease, err := e.store.Grant(limited, leaseTTL)
 	if err != nil {
 		return fmt.Errorf("grant lease: %w", err)
@@ -534,7 +573,7 @@
 	if err != nil {
 		return fmt.Errorf("write ownership record: %w", err)
 	}
-	e.recordAcquired(claim, storage.NewEntry(ownerKey, value, written), lease, sent)
+	e.recordAcquired(claim, storage.NewEntry(ownerKey, value, written), lease, sent, suspended)
 	return nil
 }
 
@@ -554,14 +593,14 @@
 }
 
 // recordAcquired makes this process the owner and emits the events.
-func (e *Elector) recordAcquired(claim order.OwnerRecord, record storage.Entry, lease storage.LeaseID, sent time.Time) {
+func (e *Elector) recordAcquired(claim order.OwnerRecord, record storage.Entry, lease storage.LeaseID, sent time.Time, suspended time.Duration) {
 	e.mu.Lock()
 	e.owner, e.version, e.lease = claim, record.Version(), lease
 	e.isOwner, e.renewedAt, e.storeAnsweredAt = true, sent, sent
 	e.mu.Unlock()
 	e.registry.Count("helm.acquired")
 	e.log.Info().Uint64("epoch", uint64(claim.Epoch())).Uint64("version", uint64(record.Version())).Msg("helm: cell acquired")
-	e.emit(AcquiredEvent{epoch: claim.Epoch(), record: record})
+	e.emit(AcquiredEvent{epoch: claim.Epoch(), record: record, claimedAt: sent, suspended: suspended})
 	e.emit(OwnerEvent{member: claim.Member(), epoch: claim.Epoch()})
 }
 
@@ -579,15 +618,42 @@
 		err = e.replaceLease(ctx)
 	}
 	e.mu.Lock()
-	defer e.mu.Unlock()
 	e.countCall(err)
 	if err == nil {
 		e.renewedAt = sent
 		e.storeAnsweredAt = timers.Later(e.storeAnsweredAt, sent)
+	} else {
+		e.registry.Count("helm.renew_failed")
+		e.log.Warn().Err(err).Dur("store_age", e.clock.Now().Sub(e.storeAnsweredAt)).Msg("helm: lease not renewed")
+	}
+	e.mu.Unlock()
+	if err == nil {
+		e.confirm(ctx)
+	}
+}
+
+// confirm reads the ownership record. A renewed lease alone is no proof of the
+// ownership, since another process may have claimed the cell before it expired.
+func (e *Elector) confirm(ctx context.Context) {
+	limited, cancel := context.WithTimeout(ctx, e.nextCallTimeout())
+	defer cancel()
+	sent, suspended := e.clock.Now(), e.clock.Suspended()
+	stored, err := e.store.Get(limited, ownerKey)
+	if err != nil {
+		e.registry.Count("helm.confirm_failed")
+		e.log.Debug().Err(err).Msg("helm: ownership not confirmed")
 		return
 	}
-	e.registry.Count("helm.renew_failed")
-	e.log.Warn().Err(err).Dur("store_age", e.clock.Now().Sub(e.storeAnsweredAt)).Msg("helm: lease not renewed")
+	e.mu.Lock()
+	isOwner, version, epoch := e.isOwner, e.version, e.owner.Epoch()
+	e.mu.Unlock()
+	switch {
+	case !isOwner:
+	case stored.Version() != version:
+		e.StepDown("the ownership record has changed")
+	default:
+		e.offer(ConfirmedEvent{epoch: epoch, at: sent, suspended: suspended})
+	}
 }
 
 // replaceLease grants a new lease and writes it if the ownership record is
--- a/scheduler/advice_test.go
+++ b/scheduler/advice_test.go
@@ -29,9 +29,7 @@
 		infos = append(infos, workerInfo(id, 1))
 	}
 	d.feed(NewWorkersMsg(infos, nil, false))
-	for _, id := range ids {
-		d.answerPoll(id, nil, nil)
-	}
+	d.answerFirstPolls(ids)
 	d.commitAll()
 	return d
 }
--- a/scheduler/attempt.go
+++ b/scheduler/attempt.go
@@ -37,6 +37,11 @@
 		ref: t.ref(), run: run, task: t, worker: w, size: t.step.spec.Size(),
 		team: j.team, state: attemptSent, startedAt: now, orderedAt: now,
 	}
+	if t.run > 0 {
+		m.log.Info().Str("job", string(j.id)).Int("step", t.step.index).Int("task", t.index).Int("run", run).
+			Int("last_run", t.run).Str("worker", string(w.id)).Str("domain", string(w.info.domain)).
+			Uint64("epoch", uint64(m.epoch)).Msg("yard: task started again")
+	}
 	t.state, t.run, t.attempt = taskPlaced, run, a
 	m.allocate(a)
 	m.registry.Invariant(w.used.FitsIn(w.info.capacity), "room",
@@ -108,7 +113,7 @@
 	}
 	m.registry.Count("yard.retries." + counterName(reason))
 	m.log.Info().Str("job", string(a.ref.job)).Int("step", a.ref.step).Int("task", a.ref.index).Int("run", a.run).
-		Str("worker", string(a.worker.id)).Str("reason", reason).Msg("yard: run lost")
+		Str("worker", string(a.worker.id)).Uint64("epoch", uint64(m.epoch)).Str("reason", reason).Msg("yard: run lost")
 	m.stopGang(now, t.step, a.run)
 }
 
@@ -165,6 +170,7 @@
 
 // handleStarted handles the result of a start order.
 func (m *Scheduler) handleStarted(now time.Time, in StartedMsg) {
+	m.checkEpoch(in.err)
 	a := m.findAttempt(in.order.to, in.order.task, in.order.run)
 	if a == nil {
 		return
@@ -226,6 +232,7 @@
 // handleStopped handles the result of a stop order. The worker's next poll is
 // due at once, since its report shows whether the run has ended.
 func (m *Scheduler) handleStopped(now time.Time, in StoppedMsg) {
+	m.checkEpoch(in.err)
 	a := m.findAttempt(in.order.to, in.order.task, in.order.run)
 	if a == nil {
 		return
@@ -374,7 +381,7 @@
 	}
 	m.markDirty(s.job)
 	limit := 1
-	if q, ok := m.config.Queue(s.job.queue); ok {
+	if q, ok := m.queueOf(s.job); ok {
 		limit = q.MaxAttempts()
 	} else {
 		return
--- a/scheduler/driver_test.go
+++ b/scheduler/driver_test.go
@@ -23,6 +23,9 @@
 	now      time.Time
 	version  storage.Version
 	commands []Command
+
+	// unconfirmed reports whether the store no longer confirms the ownership.
+	unconfirmed bool
 }
 
 const (
@@ -61,7 +64,17 @@
 	d.decide()
 }
 
-func (d *driver) decide() { d.commands = append(d.commands, d.m.Decide(d.now)...) }
+func (d *driver) decide() {
+	if !d.unconfirmed {
+		d.confirm()
+	}
+	d.commands = append(d.commands, d.m.Decide(d.now)...)
+}
+
+// confirm lets the store confirm the ownership.
+func (d *driver) confirm() {
+	d.m.Handle(d.now, NewConfirmedMsg(d.m.epoch, d.now, d.m.suspended))
+}
 
 // advance lets time pass in steps of 20 ms and collects the commands.
 func (d *driver) advance(length time.Duration) {
@@ -82,10 +95,36 @@
 	for _, id := range ids {
 		d.feed(NewWorkersMsg([]WorkerInfo{workerInfo(id, 1)}, nil, false))
 	}
+	d.answerFirstPolls(ids)
+	d.commitAll()
+}
+
+// answerFirstPolls answers the first poll of each worker, in the order in which
+// they are sent.
+func (d *driver) answerFirstPolls(ids []order.WorkerID) {
+	d.t.Helper()
+	waiting := make(map[order.WorkerID]bool, len(ids))
 	for _, id := range ids {
+		waiting[id] = true
+	}
+	for len(waiting) > 0 {
+		id, ok := d.openPoll(waiting)
+		if !ok {
+			d.t.Fatalf("no open poll of %d workers", len(waiting))
+		}
+		delete(waiting, id)
 		d.answerPoll(id, nil, nil)
 	}
-	d.commitAll()
+}
+
+// openPoll returns a worker of the set that has an open poll.
+func (d *driver) openPoll(ids map[order.WorkerID]bool) (order.WorkerID, bool) {
+	for _, c := range d.commands {
+		if poll, ok := c.(PollCmd); ok && ids[poll.order.to.worker] {
+			return poll.order.to.worker, true
+		}
+	}
+	return "", false
 }
 
 // answerPoll answers the open poll of a worker.
--- a/scheduler/entries_test.go
+++ b/scheduler/entries_test.go
@@ -22,9 +22,9 @@
 	next.configure(policy.Advice{}, order.Resources{})
 	next.m.RestoreWorkers(stored)
 	next.feed(NewWorkersMsg([]WorkerInfo{workerInfo("w1", 1), workerInfo("odd", 1)}, nil, true))
-	next.is.True(!next.m.recovered(next.now)) // w1 may run tasks
+	next.is.True(!next.m.recovered()) // w1 may run tasks
 	next.answerPoll("w1", nil, nil)
-	next.is.True(next.m.recovered(next.now))
+	next.is.True(next.m.recovered())
 }
 
 // Guards against a worker that is stored only because an earlier owner stored
@@ -42,7 +42,7 @@
 	d.is.True(stored.Exists())
 	next := newDriver(t, 3)
 	next.m.RestoreWorkers(stored)
-	next.is.True(next.m.recovered(next.now))
+	next.is.True(next.m.recovered())
 }
 
 // storeWorkers stores batches until there are no more, and returns the list of
--- a/scheduler/journal.go
+++ b/scheduler/journal.go
@@ -105,7 +105,7 @@
 // flush sends the waiting changes, as far as the limits on batches allow.
 func (m *Scheduler) flush(now time.Time) {
 	for len(m.journal.inFlight) < m.inFlightLimit() && now.Sub(m.journal.lastFlush) >= m.flushDelay() {
-		batch, f := m.nextBatch(now)
+		batch, f := m.nextBatch()
 		if len(batch.Writes())+len(batch.Deletes()) == 0 {
 			return
 		}
@@ -204,7 +204,7 @@
 // nextBatch returns a batch of the changed jobs that are not in flight: those
 // that a client waits for or that have ended first, each in the order of the
 // changes. The list of workers and deletions use the space that is left.
-func (m *Scheduler) nextBatch(now time.Time) (storage.Batch, inFlightBatch) {
+func (m *Scheduler) nextBatch() (storage.Batch, inFlightBatch) {
 	batch := storage.Batch{}.Expect(m.journal.ownership.Key(), m.journal.ownership.Version())
 	var f inFlightBatch
 	background := 0
@@ -229,7 +229,7 @@
 		}
 	}
 	m.journal.dirty = remaining
-	if !now.Before(m.unlistedLeaseEnd) {
+	if !m.confirmedAt.Before(m.unlistedLeaseEnd) {
 		batch, f.workers = m.addWorkerList(batch)
 	}
 	for len(m.journal.deletions) > 0 && batch.Size()+2 <= storage.MaxBatch {
@@ -317,6 +317,8 @@
 	}
 	delete(m.journal.inFlight, in.batchID)
 	m.journal.lastStored = now
+	// The store accepts a batch only while the ownership record is unchanged.
+	m.confirm(in.sentAt, in.suspended)
 	if f.workers != nil {
 		m.journal.workersVersion, m.journal.workersInFlight = in.version, false
 	}
--- a/scheduler/runner.go
+++ b/scheduler/runner.go
@@ -133,7 +133,12 @@
 		case <-ctx.Done():
 			return nil
 		}
-		for _, cmd := range r.scheduler.Decide(r.clock.Now()) {
+		r.scheduler.Handle(r.clock.Now(), SuspendedMsg{total: r.clock.Suspended()})
+		commands := r.scheduler.Decide(r.clock.Now())
+		if r.scheduler.Superseded() {
+			return ErrLost
+		}
+		for _, cmd := range commands {
 			r.execute(ctx, cmd)
 		}
 	}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -57,6 +57,15 @@
 		// may lack have expired. It is zero if the list was read.
 		unlistedLeaseEnd time.Time
 
+		// confirmedAt is the latest time at which no other process had owned
+		// the cell since this one claimed it, and confirmedSuspended how long
+		// the machine had been suspended then. suspended is the present value.
+		// superseded reports whether another process owns the cell now.
+		confirmedAt        time.Time
+		confirmedSuspended time.Duration
+		suspended          time.Duration
+		superseded         bool
+
 		// headroom is the free capacity in the present round of placement.
 		headroom headroom
 
@@ -64,8 +73,11 @@
 		firstContacts int
 
 		// nextPlacement is the earliest time of the next round of placement.
+		// paused is the last PauseMsg, and startsHeld reports whether the last
+		// round was left out because no task may be started.
 		nextPlacement time.Time
 		paused        bool
+		startsHeld    bool
 		commands      []Command
 	}
 
@@ -77,11 +89,13 @@
 	}
 
 	// Limits are set by the platform: the longest lease of a worker, how long
-	// ended jobs are shown, and how many writes a second the store takes (zero
-	// if unknown).
+	// ended jobs are shown, how long after the answer to a cancellation tasks of
+	// the job may still start, and how many writes a second the store takes
+	// (zero if unknown).
 	Limits struct {
 		maxLease        time.Duration
 		retention       time.Duration
+		cancelBound     time.Duration
 		writesPerSecond float64
 	}
 
@@ -166,19 +180,41 @@
 		err    error
 	}
 
-	// CommittedMsg reports that the batch of a CommitCmd was stored.
+	// CommittedMsg reports that the batch of a CommitCmd was stored. The call
+	// that showed it was sent at sentAt, when the machine had been suspended for
+	// the given time.
 	CommittedMsg struct {
-		batchID int
-		version storage.Version
+		batchID   int
+		version   storage.Version
+		sentAt    time.Time
+		suspended time.Duration
 	}
 
 	// PauseMsg pauses placement or resumes it.
 	PauseMsg struct{ paused bool }
+
+	// ConfirmedMsg reports that no other process had owned the cell at the
+	// given time since this one claimed it with the epoch. The machine had been
+	// suspended for the given time then.
+	ConfirmedMsg struct {
+		epoch     order.Epoch
+		at        time.Time
+		suspended time.Duration
+	}
+
+	// SuspendedMsg reports how long the machine has been suspended so far.
+	SuspendedMsg struct{ total time.Duration }
 )
 
-// defaultRetention is how long an ended job is shown if the platform's settings
-// set none.
-const defaultRetention = 120 * time.Second
+const (
+	// defaultRetention is how long an ended job is shown if the platform's
+	// settings set none.
+	defaultRetention = 120 * time.Second
+
+	// defaultCancelBound is how long after the answer to a cancellation tasks
+	// may still start, if the settings set no other bound.
+	defaultCancelBound = 3 * time.Second
+)
 
 func (StartCmd) command()  {}
 func (StopCmd) command()   {}
@@ -196,6 +232,8 @@
 func (PolledMsg) input()    {}
 func (CommittedMsg) input() {}
 func (PauseMsg) input()     {}
+func (ConfirmedMsg) input() {}
+func (SuspendedMsg) input() {}
 
 // NewLimits returns the limits for the longest lease of a worker and for how
 // long ended jobs are shown. A retention of zero sets the default of 120 s.
@@ -203,7 +241,14 @@
 	if retention <= 0 {
 		retention = defaultRetention
 	}
-	return Limits{maxLease: maxLease, retention: retention}
+	return Limits{maxLease: maxLease, retention: retention, cancelBound: defaultCancelBound}
+}
+
+// WithCancelBound returns a copy with the time after the answer to a
+// cancellation in which tasks of the job may still start.
+func (l Limits) WithCancelBound(bound time.Duration) Limits {
+	l.cancelBound = bound
+	return l
 }
 
 // WithWriteRate returns a copy with the writes a second that the store
@@ -243,6 +288,13 @@
 // NewPauseMsg returns the input that pauses or resumes placement.
 func NewPauseMsg(paused bool) PauseMsg { return PauseMsg{paused: paused} }
 
+// NewConfirmedMsg returns the input for a confirmation of the ownership by the
+// store. The time is that at which the call was sent, with the time for which
+// the machine had been suspended before.
+func NewConfirmedMsg(epoch order.Epoch, at time.Time, suspended time.Duration) ConfirmedMsg {
+	return ConfirmedMsg{epoch: epoch, at: at, suspended: suspended}
+}
+
 // New returns the scheduler of a cell that this process owns at the epoch. The
 // record is the ownership record, whose key and version every commit expects.
 // The job and worker lists of earlier owners are added by Restore and
@@ -293,6 +345,12 @@
 		m.handleCommitted(now, in)
 	case PauseMsg:
 		m.paused = in.paused
+	case ConfirmedMsg:
+		if in.epoch == m.epoch {
+			m.confirm(in.at, in.suspended)
+		}
+	case SuspendedMsg:
+		m.suspended = in.total
 	}
 }
 
@@ -320,6 +378,7 @@
 	}
 	if in.config != nil {
 		m.config = in.config
+		m.logRemovedQueues()
 	}
 	clear(m.withdrawn)
 	for _, d := range in.withdrawn {
--- /dev/null
+++ b/scheduler/tenure.go
@@ -0,0 +1,64 @@
+package scheduler
+
+import (
+	"errors"
+	"time"
+)
+
+// confirm records that no other process had owned the cell at the given time.
+func (m *Scheduler) confirm(at time.Time, suspended time.Duration) {
+	if at.After(m.confirmedAt) {
+		m.confirmedAt, m.confirmedSuspended = at, suspended
+	}
+}
+
+// leaseLength returns how long a lease that is granted now may last, and zero if
+// none may be granted. A successor may have claimed the cell at any time since
+// confirmedAt, and counts with leases of its predecessor for maxLease from its
+// claim on.
+func (m *Scheduler) leaseLength(now time.Time) time.Duration {
+	return max(0, min(leaseDuration, m.limits.maxLease-m.ownershipAge(now)))
+}
+
+// ownershipAge returns the time since the store last confirmed the ownership,
+// with the time for which the machine was suspended.
+func (m *Scheduler) ownershipAge(now time.Time) time.Duration {
+	return now.Sub(m.confirmedAt) + m.suspended - m.confirmedSuspended
+}
+
+// mayStart reports whether tasks may be started. A successor that claimed right
+// after the last confirmation may have acknowledged that a job is cancelled.
+func (m *Scheduler) mayStart(now time.Time) bool {
+	return !m.paused && m.ownershipAge(now) < m.limits.cancelBound && m.leaseLength(now) > 0
+}
+
+// logStarts logs when the owner stops starting tasks, and when it starts some
+// again.
+func (m *Scheduler) logStarts(now time.Time, allowed bool) {
+	if allowed == !m.startsHeld {
+		return
+	}
+	m.startsHeld = !allowed
+	m.log.Warn().Bool("allowed", allowed).Bool("paused", m.paused).Dur("ownership_age", m.ownershipAge(now)).
+		Uint64("epoch", uint64(m.epoch)).Msg("yard: starts of tasks")
+}
+
+// lapsed reports whether all leases of the worker that this owner knows of have
+// certainly expired, and no other owner can have renewed them before: the store
+// confirmed the ownership after their end.
+func (m *Scheduler) lapsed(w *worker) bool { return !m.confirmedAt.Before(w.leaseEnd) }
+
+// checkEpoch ends the ownership if the result of an order says that the worker
+// has accepted a later epoch.
+func (m *Scheduler) checkEpoch(err error) {
+	var refused *RefusedError
+	if !errors.As(err, &refused) || refused.reason != RefusedStaleEpoch || m.superseded {
+		return
+	}
+	m.superseded = true
+	m.log.Warn().Uint64("epoch", uint64(m.epoch)).Msg("yard: a worker has accepted a later owner")
+}
+
+// Superseded reports whether another process owns the cell. No command must be
+// executed from then on.
+func (m *Scheduler) Superseded() bool { return m.superseded }
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -194,14 +194,15 @@
 	}
 	w.listed, w.unlistedAt = false, now
 	m.log.Info().Str("worker", string(id)).Int("runs", len(w.attempts)).Time("lease_end", w.leaseEnd).Msg("yard: worker no longer listed")
-	if len(w.attempts) == 0 && now.After(w.leaseEnd) {
+	if len(w.attempts) == 0 && m.lapsed(w) {
 		m.removeWorker(w)
 	}
 }
 
 // resetWorker drops the runs and the state of a worker's earlier incarnation.
 func (m *Scheduler) resetWorker(now time.Time, w *worker) {
-	m.log.Info().Str("worker", string(w.id)).Int("runs", len(w.attempts)).Msg("yard: worker restarted")
+	m.log.Info().Str("worker", string(w.id)).Int("runs", len(w.attempts)).Uint64("epoch", uint64(m.epoch)).
+		Dur("ownership_age", m.ownershipAge(now)).Msg("yard: worker restarted")
 	m.dropAttempts(now, w, "worker started anew")
 	w.unackedEnds, w.lastEnded, w.acked = nil, 0, 0
 	w.clockReadAt, w.contacted, w.failures = time.Time{}, false, 0
@@ -260,9 +261,12 @@
 }
 
 // grantLease returns the end of a new lease on the worker's clock, and records
-// when it has certainly expired.
+// when it has certainly expired. It returns zero if no lease may be granted.
 func (m *Scheduler) grantLease(now time.Time, w *worker) int64 {
-	length := min(leaseDuration, m.limits.maxLease)
+	length := m.leaseLength(now)
+	if length == 0 {
+		return 0
+	}
 	w.leaseEnd = timers.Later(w.leaseEnd, now.Add(maxLeaseTime(length)))
 	return w.clockMillis + now.Sub(w.clockReadAt).Milliseconds() + length.Milliseconds()
 }
@@ -297,6 +301,7 @@
 
 // handlePoll handles the result of a poll.
 func (m *Scheduler) handlePoll(now time.Time, in PolledMsg) {
+	m.checkEpoch(in.err)
 	if in.order.first {
 		m.firstContacts--
 	}
@@ -322,7 +327,8 @@
 	}
 	if !w.contacted || w.missedCalls > 0 {
 		m.log.Info().Str("worker", string(w.id)).Int("running", len(in.report.running)).
-			Int("ended", len(in.report.ended)).Msg("yard: contact with worker established")
+			Int("ended", len(in.report.ended)).Int("known", len(w.attempts)).Uint64("epoch", uint64(m.epoch)).
+			Msg("yard: contact with worker established")
 	}
 	w.missedCalls, w.connRefused, w.unresponsive = 0, false, false
 	w.contacted, w.lastReportAt = true, now
@@ -465,17 +471,20 @@
 }
 
 // expireRuns ends the runs of workers that departed, and of workers without
-// contact whose last lease has expired.
+// contact whose last lease has lapsed.
 func (m *Scheduler) expireRuns(now time.Time) {
 	for _, w := range m.sortedWorkers() {
 		if w.departed() && len(w.attempts) > 0 {
 			m.dropAttempts(now, w, "worker left")
 		}
-		if now.Before(w.leaseEnd) || (w.contacted && w.missedCalls == 0) {
+		if !m.lapsed(w) || (w.contacted && w.missedCalls == 0) {
 			continue
 		}
 		if len(w.attempts) > 0 {
-			m.log.Warn().Str("worker", string(w.id)).Int("runs", len(w.attempts)).Msg("yard: leases lapsed")
+			m.registry.Count("yard.workers.lapsed")
+			m.log.Warn().Str("worker", string(w.id)).Str("domain", string(w.info.domain)).Int("runs", len(w.attempts)).
+				Time("lease_end", w.leaseEnd).Uint64("epoch", uint64(m.epoch)).
+				Dur("ownership_age", m.ownershipAge(now)).Msg("yard: leases lapsed")
 			m.dropAttempts(now, w, "lease lapsed")
 		}
 		if w.persisted && !w.contacted {
@@ -489,13 +498,13 @@
 }
 
 // recovered reports whether all runs that earlier owners may have started are
-// known: each worker has reported, or its last lease has expired.
-func (m *Scheduler) recovered(now time.Time) bool {
-	if now.Before(m.unlistedLeaseEnd) {
+// known: each worker has reported, or its last lease has lapsed.
+func (m *Scheduler) recovered() bool {
+	if m.confirmedAt.Before(m.unlistedLeaseEnd) {
 		return false
 	}
 	for _, w := range m.workers {
-		if !w.contacted && now.Before(w.leaseEnd) {
+		if !w.contacted && !m.lapsed(w) {
 			return false
 		}
 	}
--- a/settings/host_test.go
+++ b/settings/host_test.go
@@ -6,6 +6,7 @@
 	"regexp"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -37,6 +38,7 @@
 	is.Equal(s.PeerAddress(), "10.1.0.17:7420")
 	is.Equal(s.CPULimit(), 0.4)
 	is.Equal(s.StoreWrites(), 1200.0)
+	is.Equal(s.CancelBound(), 3*time.Second)
 }
 
 // Guards against a truncated or invalid settings file that is accepted.
