Conclude nothing from a report that lacks ends

Seen by callers: a task that was done ran again. A worker lists at most 500 unacknowledged ends in a response. With more of them, as while the store is down, a run in neither list counted as absent: the owner stopped it, took the confirmed stop as proof that it had never begun, and started it again. A new owner did the same after its first report: the cell counted as recovered.

Cause: the list of ends was read as complete whatever its length.

The report now says whether the worker may have more ends. Only a report with all of them shows that a run is absent, and only such a report counts towards the recovery of a new owner. Ends are acknowledged in order once stored, so the rest arrives with the next polls. An unconfirmed stop is repeated as before.

--- a/scheduler/driver_test.go
+++ b/scheduler/driver_test.go
@@ -90,11 +90,25 @@
 
 // answerPoll answers the open poll of a worker.
 func (d *driver) answerPoll(id order.WorkerID, running []RunningTask, ended []EndedTask) {
+	d.t.Helper()
+	d.answerPollWith(id, NewReport(d.workerClock(), 1, running, ended))
+}
+
+// answerPartialPoll answers the open poll of a worker that runs nothing and has
+// more ends than those listed.
+func (d *driver) answerPartialPoll(id order.WorkerID, ended []EndedTask) {
+	d.t.Helper()
+	d.answerPollWith(id, NewReport(d.workerClock(), 1, nil, ended).WithMoreEnds(true))
+}
+
+func (d *driver) workerClock() int64 { return 1000 + d.now.Sub(testStart).Milliseconds() }
+
+func (d *driver) answerPollWith(id order.WorkerID, report Report) {
 	d.t.Helper()
 	for i, c := range d.commands {
 		if poll, ok := c.(PollCmd); ok && poll.order.to.worker == id {
 			d.removeCommand(i)
-			d.feed(PolledMsg{order: poll.order, sentAt: d.now, report: NewReport(1000+d.now.Sub(testStart).Milliseconds(), 1, running, ended)})
+			d.feed(PolledMsg{order: poll.order, sentAt: d.now, report: report})
 			return
 		}
 	}
--- a/scheduler/orders.go
+++ b/scheduler/orders.go
@@ -71,12 +71,14 @@
 	}
 
 	// Report is a worker's response to a poll. Its clock and incarnation are
-	// zero if the response lacks them.
+	// zero if the response lacks them. The list of ended runs has only the first
+	// of them if moreEnds is set; the list of running ones is complete.
 	Report struct {
 		clock       int64
 		incarnation int64
 		running     []RunningTask
 		ended       []EndedTask
+		moreEnds    bool
 	}
 
 	// RunningTask is a run that a worker executes.
@@ -211,6 +213,13 @@
 	return Report{clock: clock, incarnation: incarnation, running: running, ended: ended}
 }
 
+// WithMoreEnds returns a copy that says whether the worker may have more ended
+// runs than those listed.
+func (r Report) WithMoreEnds(more bool) Report {
+	r.moreEnds = more
+	return r
+}
+
 // NewRunningTask returns a run that a worker executes, with its last
 // checkpoint and its progress in percent.
 func NewRunningTask(task TaskRef, run int, checkpoint string, percent int) RunningTask {
@@ -322,6 +331,10 @@
 // means not at all.
 func (o PollOrder) Wait() time.Duration { return o.wait }
 
+// MoreEnds reports whether the worker may have more ended runs than those
+// listed.
+func (r Report) MoreEnds() bool { return r.moreEnds }
+
 // Reason returns why the worker refused the order.
 func (e *RefusedError) Reason() Refusal { return e.reason }
 
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -148,6 +148,71 @@
 	d.is.Equal(second.order.run, 2)
 }
 
+// A run that is missing from a report without the last ends may be done.
+func TestNoRestartOfRunsBehindLongListOfEnds(t *testing.T) {
+	d := newDriver(t, testEpoch)
+	d.configure(policy.Advice{}, order.Resources{})
+	d.addWorkers("w1")
+	d.call(order.SubmitJob, smallStep(3))
+	d.commitAll()
+	var starts []StartCmd
+	for range 3 {
+		s, ok := d.takeStart()
+		d.is.True(ok)
+		starts = append(starts, s)
+	}
+	for i, err := range []error{nil, nil, errDiverged} {
+		d.answerStart(starts[i], err)
+	}
+	d.advance(100 * time.Millisecond)
+	first := []EndedTask{NewEndedTask(1, starts[0].order.task, 1, ResultDone, "")}
+	d.answerPartialPoll("w1", first)
+	for range 5 {
+		d.advance(stopRetryInterval)
+		if stop, ok := d.takeStop(); ok {
+			d.feed(StoppedMsg{order: stop.order})
+		}
+		d.answerPartialPoll("w1", first)
+	}
+	_, again := d.takeStart()
+	d.is.True(!again) // the other runs may be done
+	d.commitAll()
+	d.advance(maxUnackedPollDelay + pollDelay)
+	for poll, ok := d.takePoll(); ok; poll, ok = d.takePoll() {
+		d.feed(PolledMsg{order: poll.order, sentAt: d.now, report: NewReport(5000, 1, nil, []EndedTask{
+			NewEndedTask(2, starts[1].order.task, 1, ResultDone, ""), NewEndedTask(3, starts[2].order.task, 1, ResultDone, ""),
+		})})
+	}
+	d.is.Equal(d.m.jobs[testJob].state, order.JobCompleted)
+	_, again = d.takeStart()
+	d.is.True(!again)
+}
+
+// A confirmed stop does not prove that the run had not ended as done before.
+func TestNoRestartOfStoppedRunBehindLongListOfEnds(t *testing.T) {
+	d := newDriver(t, testEpoch)
+	d.configure(policy.Advice{}, order.Resources{})
+	d.addWorkers("w1")
+	d.call(order.SubmitJob, smallStep(1))
+	d.commitAll()
+	s, ok := d.takeStart()
+	d.is.True(ok)
+	d.answerStart(s, nil)
+	d.m.stop(d.now, d.m.findAttempt(s.order.to, s.order.task, s.order.run))
+	d.advance(100 * time.Millisecond)
+	stop, ok := d.takeStop()
+	d.is.True(ok)
+	d.feed(StoppedMsg{order: stop.order})
+	d.advance(100 * time.Millisecond)
+	d.answerPartialPoll("w1", nil)
+	d.advance(100 * time.Millisecond)
+	_, again := d.takeStart()
+	d.is.True(!again)
+	d.answerPoll("w1", nil, nil)
+	_, again = d.takeStart()
+	d.is.True(again) // a whole report lacks the run
+}
+
 // The end of a run must not be acknowledged before the store has it: the worker
 // would drop it, and a new owner would never receive it.
 func TestAcknowledgesOnlyStoredEnds(t *testing.T) {
@@ -336,6 +401,19 @@
 	d.is.True(!started) // w2 runs it
 }
 
+// The first report to a new owner may lack the end of a task that is done.
+func TestNewOwnerWaitsForAllEnds(t *testing.T) {
+	d := newSuccessor(t, order.Resources{}, []order.JobStep{smallStep(2)}, []order.WorkerID{"w1"}, "w1")
+	first := []EndedTask{NewEndedTask(1, NewTaskRef(testJob, 0, 0, 0), 1, ResultDone, "")}
+	d.answerPartialPoll("w1", first)
+	d.is.Equal(d.startedOf(testJob), 0)
+	d.commitAll()
+	d.advance(maxUnackedPollDelay + pollDelay)
+	d.answerPoll("w1", nil, []EndedTask{NewEndedTask(2, NewTaskRef(testJob, 0, 0, 1), 1, ResultDone, "")})
+	d.is.Equal(d.startedOf(testJob), 0)
+	d.is.Equal(d.m.jobs[testJob].state, order.JobCompleted)
+}
+
 // newSuccessor returns a driver whose cell was taken over with a job of an
 // earlier owner and the workers on which tasks may have been started. The
 // workers in listed are in the discovery.
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -27,6 +27,10 @@
 		// From then on it refuses the orders of earlier owners.
 		contacted bool
 
+		// reported reports whether a report of this epoch had all ends, so that
+		// all that earlier owners started is known.
+		reported bool
+
 		// clockMillis is the worker's clock in milliseconds as of clockReadAt.
 		clockMillis int64
 		clockReadAt time.Time
@@ -202,7 +206,7 @@
 	m.log.Info().Str("worker", string(w.id)).Int("runs", len(w.attempts)).Msg("yard: worker restarted")
 	m.dropAttempts(now, w, "worker started anew")
 	w.unackedEnds, w.lastEnded, w.acked = nil, 0, 0
-	w.clockReadAt, w.contacted, w.failures = time.Time{}, false, 0
+	w.clockReadAt, w.contacted, w.reported, w.failures = time.Time{}, false, false, 0
 	w.missedCalls, w.unresponsive, w.cooldownUntil = 0, false, time.Time{}
 }
 
@@ -324,6 +328,7 @@
 	}
 	w.missedCalls, w.connRefused, w.unresponsive = 0, false, false
 	w.contacted, w.lastReportAt = true, now
+	w.reported = w.reported || !in.report.moreEnds
 	w.recordClock(now, in.report.clock)
 	m.handleEnds(now, w, in.report.ended)
 	m.reconcileRuns(now, w, in)
@@ -378,7 +383,7 @@
 	}
 	for key, a := range w.attempts {
 		if !present[key] {
-			m.handleMissing(now, a, in.sentAt)
+			m.handleMissing(now, a, in)
 		}
 	}
 }
@@ -418,25 +423,27 @@
 
 // handleMissing handles a run that the report lacks. A poll that was sent
 // before the run's last order proves nothing, since the worker may have
-// responded before it got the order.
-func (m *Scheduler) handleMissing(now time.Time, a *attempt, polledAt time.Time) {
+// responded before it got the order, and neither does a report without the last
+// ends, since the run may have ended.
+func (m *Scheduler) handleMissing(now time.Time, a *attempt, in PolledMsg) {
+	if a.state == attemptStopping && a.stopConfirmedAt.IsZero() {
+		if now.Sub(a.orderedAt) >= stopRetryInterval {
+			m.sendStop(now, a)
+		}
+		return
+	}
+	if in.report.moreEnds {
+		return
+	}
 	switch a.state {
-	case attemptUnconfirmed:
-		if polledAt.After(a.orderedAt) {
+	case attemptUnconfirmed, attemptRunning:
+		if in.sentAt.After(a.orderedAt) {
 			m.stop(now, a)
 		}
 	case attemptStopping:
-		if !a.stopConfirmedAt.IsZero() && polledAt.After(a.stopConfirmedAt) {
+		if in.sentAt.After(a.stopConfirmedAt) {
 			m.release(a)
 			m.requeue(now, a, "stopped before it began")
-			return
-		}
-		if a.stopConfirmedAt.IsZero() && now.Sub(a.orderedAt) >= stopRetryInterval {
-			m.sendStop(now, a)
-		}
-	case attemptRunning:
-		if polledAt.After(a.orderedAt) {
-			m.stop(now, a)
 		}
 	}
 }
@@ -469,10 +476,10 @@
 }
 
 // recovered reports whether all runs that earlier owners may have started are
-// known: each worker has reported, or its last lease has expired.
+// known: each worker has reported all ends, or its last lease has expired.
 func (m *Scheduler) recovered(now time.Time) bool {
 	for _, w := range m.workers {
-		if !w.contacted && now.Before(w.leaseEnd) {
+		if !w.reported && now.Before(w.leaseEnd) {
 			return false
 		}
 	}
