Count a failure against a worker only where it tells of the worker

Cause: coolDown counted every failure against the worker, so that two failures of one job were enough, wherever else its tasks failed. Where nothing completes, as with lasting tasks, the count was never reset.

A failure no longer counts if the task has failed on another worker too, or if no task of its step is done and the step fails on others. While a step has no task that is done, the failures of its job count once. The cooldown follows from the failures of the last 30 s, so that it ends early once the job is found to be at fault. A worker that fails several jobs, or tasks that others complete, still rests, and longer each time: TestRestsWorkerThatFailsSeveralJobs, which held before as well, and TestRestsWorkerThatFailsWhatOthersDo.

--- a/scheduler/attempt.go
+++ b/scheduler/attempt.go
@@ -17,16 +17,6 @@
 	// that a new owner never reuses a number. No owner starts a task this
 	// often.
 	runsPerEpoch = 1000
-
-	// cooldownThreshold is how many tasks in a row have to fail before the
-	// worker gets no new ones for a while. A few percent of runs fail through
-	// no fault of the worker.
-	cooldownThreshold = 2
-
-	// minCooldown and maxCooldown limit the cooldown, which doubles with each
-	// further failure.
-	minCooldown = 2 * time.Second
-	maxCooldown = 16 * time.Second
 )
 
 // start allocates capacity for the next run of a task and sends the start order
@@ -308,7 +298,7 @@
 	}
 	switch e.result {
 	case ResultDone:
-		w.failures = 0
+		w.recordSuccess(now)
 		m.finishTask(now, t, e)
 		return j
 	case ResultFailed:
@@ -353,9 +343,8 @@
 // fails with the last attempt that its queue allows.
 func (m *Scheduler) recordFailure(now time.Time, w *worker, t *task, e EndedTask) {
 	m.registry.Count("yard.tasks_failed")
-	m.coolDown(now, w)
+	m.recordWorkerFailure(now, w, t)
 	s := t.step
-	t.failedOn = append(t.failedOn, w.id)
 	if t.state == taskDone || s.spec.Lasting() {
 		return
 	}
@@ -385,15 +374,3 @@
 		m.endJob(now, s.job, order.JobFailed, "attempts used up")
 	}
 }
-
-// coolDown counts a failed task of the worker, and keeps new tasks from it once
-// several have failed in a row.
-func (m *Scheduler) coolDown(now time.Time, w *worker) {
-	w.failures++
-	if w.failures < cooldownThreshold {
-		return
-	}
-	length := min(maxCooldown, minCooldown<<min(w.failures-cooldownThreshold, 8))
-	w.cooldownUntil = timers.Later(w.cooldownUntil, now.Add(length))
-	m.log.Warn().Str("worker", string(w.id)).Int("failures", w.failures).Dur("for", length).Msg("yard: worker gets no new work")
-}
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -83,6 +83,9 @@
 		gangFailedRuns []int
 		gangCheckpoint string
 
+		// failedOn has when a task of the step last failed on each worker.
+		failedOn map[order.WorkerID]time.Time
+
 		// tickets holds the ticket of each worker that may run the step; it is
 		// nil until the first advice. ticketedWorkers are all workers that ever
 		// got a ticket, in the order of the responses. requestedWorkers are
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -71,8 +71,10 @@
 		// unknownSizes counts the runs whose size is not known.
 		unknownSizes int
 
-		// failures counts the failed tasks since the last one that completed.
-		failures      int
+		// failures are the failed runs since the last one that completed.
+		// cooldownUntil is when the worker may get new tasks after refusals,
+		// stalled runs and earlier failures.
+		failures      []failure
 		cooldownUntil time.Time
 	}
 
@@ -206,7 +208,7 @@
 	m.log.Info().Str("worker", string(w.id)).Int("runs", len(w.attempts)).Msg("yard: worker restarted")
 	m.dropAttempts(now, w, "worker started anew")
 	w.unackedEnds, w.lastEnded, w.acked = nil, 0, 0
-	w.clockReadAt, w.contacted, w.reported, w.failures = time.Time{}, false, false, 0
+	w.clockReadAt, w.contacted, w.reported, w.failures = time.Time{}, false, false, nil
 	w.missedCalls, w.unresponsive, w.cooldownUntil = 0, false, time.Time{}
 }
 
