Take a draining worker as exited only if nothing listens there

Seen by callers: nothing yet, found by reading. A draining worker that first lost the store and then its owner counted as exited, and its tasks started elsewhere while it ran on under its lease (TWICE).

Cause: departed took each order that was not sent as proof that nothing listens at the address. A connection attempt that times out, as to a worker behind a partition, and a client without a free connection gave the same error.

The platform says that a port with no listener resets the connection, and that a machine behind a partition does not respond. ErrNotListening now names the first case. The test of a worker that left gives that error, which the platform client returns for it, in place of the former one.

--- a/scheduler/driver_test.go
+++ b/scheduler/driver_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"errors"
 	"fmt"
 	"testing"
 	"time"
@@ -35,7 +36,12 @@
 	testEpoch  = order.Epoch(1)
 )
 
-var testStart = time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
+var (
+	testStart = time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
+
+	// errExited is the error of an order to a worker that has exited.
+	errExited = errors.Join(ErrNotSent, ErrNotListening)
+)
 
 func newDriver(t testing.TB, epoch order.Epoch) *driver {
 	registry := gauge.New(zerolog.Nop())
@@ -115,6 +121,19 @@
 	d.t.Fatalf("no open poll of %s", id)
 }
 
+// failPoll answers the open poll of a worker with the error.
+func (d *driver) failPoll(id order.WorkerID, err error) {
+	d.t.Helper()
+	for i, c := range d.commands {
+		if poll, ok := c.(PollCmd); ok && poll.order.to.worker == id {
+			d.removeCommand(i)
+			d.feed(PolledMsg{order: poll.order, sentAt: d.now, err: err})
+			return
+		}
+	}
+	d.t.Fatalf("no open poll of %s", id)
+}
+
 // commitAll stores batches until there are no more.
 func (d *driver) commitAll() {
 	d.advance(2 * flushInterval)
--- a/scheduler/orders.go
+++ b/scheduler/orders.go
@@ -176,6 +176,10 @@
 	// ErrNotSent reports that no byte of the order left this process.
 	ErrNotSent = errors.New("order not sent")
 
+	// ErrNotListening reports, beside ErrNotSent, that nothing listens at the
+	// worker's address. A worker that is cut off does not respond instead.
+	ErrNotListening = errors.New("nothing listens at the address")
+
 	resultNames  = [...]string{ResultDone: "done", ResultFailed: "failed", ResultStopped: "stopped", ResultLeaseExpired: "lapsed", ResultGangEnded: "broken", ResultGangTimeout: "alone"}
 	refusalNames = [...]string{
 		RefusedStaleEpoch: "fence", RefusedKnownRun: "run", RefusedLeaseExpired: "late", RefusedNoCapacity: "room",
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -703,6 +703,31 @@
 // The tasks of a worker that exits at the end of its drain must start again at
 // once, without waiting for its lease to expire.
 func TestRestartsOnceDrainedWorkerLeft(t *testing.T) {
+	d, drained := newDrainingDriver(t)
+	d.failPoll(drained, errExited)
+	d.advance(50 * time.Millisecond)
+	_, ok := d.takeStart()
+	d.is.True(!ok) // it may be restarting
+	d.feed(NewWorkersMsg(nil, []order.WorkerID{drained}, false))
+	d.advance(50 * time.Millisecond)
+	s, ok := d.takeStart()
+	d.is.True(ok)
+	d.is.True(s.order.to.worker != drained)
+}
+
+// A draining worker that no connection reaches may be cut off and run on.
+func TestNoRestartWhileDrainingWorkerIsCutOff(t *testing.T) {
+	d, drained := newDrainingDriver(t)
+	d.failPoll(drained, ErrNotSent)
+	d.feed(NewWorkersMsg(nil, []order.WorkerID{drained}, false))
+	d.advance(leaseDuration - 2*time.Second)
+	_, ok := d.takeStart()
+	d.is.True(!ok)
+}
+
+// newDrainingDriver returns a driver with two workers, of which the one that is
+// returned runs a task and drains.
+func newDrainingDriver(t *testing.T) (*driver, order.WorkerID) {
 	d := newDriver(t, testEpoch)
 	d.configure(policy.Advice{}, order.Resources{})
 	d.addWorkers("w1", "w2")
@@ -715,22 +740,7 @@
 	d.advance(time.Second)
 	d.answerPoll(drained, []RunningTask{NewRunningTask(s.order.task, 1, "", 50)}, nil)
 	d.advance(time.Second)
-	for {
-		h, ok := d.takePoll()
-		d.is.True(ok)
-		if h.order.to.worker == drained {
-			d.feed(PolledMsg{order: h.order, sentAt: d.now, err: ErrNotSent})
-			break
-		}
-	}
-	d.advance(50 * time.Millisecond)
-	_, ok := d.takeStart()
-	d.is.True(!ok) // it may have lost only its connection
-	d.feed(NewWorkersMsg(nil, []order.WorkerID{drained}, false))
-	d.advance(50 * time.Millisecond)
-	s, ok = d.takeStart()
-	d.is.True(ok)
-	d.is.True(s.order.to.worker != drained)
+	return d, drained
 }
 
 // A long backlog of a team at its limit must not delay the jobs of other teams.
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -40,8 +40,8 @@
 		leaseEnd time.Time
 
 		// lastReportAt is when the worker last answered a poll, unlistedAt when
-		// the discovery removed it, and connRefused whether the last poll
-		// failed before any byte was sent.
+		// the discovery removed it, and connRefused whether nothing listened at
+		// its address at the last poll.
 		lastReportAt time.Time
 		unlistedAt   time.Time
 		connRefused  bool
@@ -341,7 +341,7 @@
 // logged.
 func (m *Scheduler) handlePollError(now time.Time, w *worker, err error) {
 	w.missedCalls++
-	w.connRefused = errors.Is(err, ErrNotSent)
+	w.connRefused = errors.Is(err, ErrNotListening)
 	w.nextPollAt = now.Add(pollRetryDelay)
 	var refused *RefusedError
 	if !w.listed && errors.As(err, &refused) && refused.reason == RefusedIncarnation {
