Store a worker's new address before it gets tasks there

Seen by callers: nothing yet, found by reading. A worker that starts again under its ID at another address got tasks there while the stored list had the former one. A later owner that can't see its entry in the discovery polled the former address; another worker that answers there (421) counted as proof that the runs had ended, and they started elsewhere (TWICE).

Cause: the list was written when workers came and went, not when one changed.

Evidence before: TestNoStartAtAddressThatIsNotStored "not true: !d.usable(...)". A worker now gets tasks only while the stored list has its present address. A list that was sent before the change does not count.

--- a/scheduler/journal.go
+++ b/scheduler/journal.go
@@ -33,7 +33,14 @@
 		jobs    []*job
 		seqs    []int
 		states  []order.JobState
-		workers []*worker
+		workers []storedWorker
+	}
+
+	// storedWorker is a worker in a list that was sent to the store, with its
+	// address there.
+	storedWorker struct {
+		worker  *worker
+		address string
 	}
 )
 
@@ -257,13 +264,15 @@
 
 // addWorkerList adds the list of workers to the batch if it has changed. It
 // returns the workers in the list, or nil.
-func (m *Scheduler) addWorkerList(batch storage.Batch) (storage.Batch, []*worker) {
+func (m *Scheduler) addWorkerList(batch storage.Batch) (storage.Batch, []storedWorker) {
 	if !m.journal.workersDirty || m.journal.workersInFlight {
 		return batch, nil
 	}
 	workers := m.sortedWorkers()
 	records := make([]order.WorkerRecord, 0, len(workers))
+	sent := make([]storedWorker, 0, len(workers))
 	for _, w := range workers {
+		sent = append(sent, storedWorker{w, w.info.address})
 		records = append(records, order.WorkerRecord{}.WithID(w.id).WithAddress(w.info.address).
 			WithService(w.info.service).WithDomain(w.info.domain))
 	}
@@ -273,7 +282,7 @@
 		return batch, nil
 	}
 	m.journal.workersDirty, m.journal.workersInFlight = false, true
-	return batch.Expect(WorkersKey, m.journal.workersVersion).Put(WorkersKey, value, 0), workers
+	return batch.Expect(WorkersKey, m.journal.workersVersion).Put(WorkersKey, value, 0), sent
 }
 
 // RestoreWorkers adds the workers that the store lists, on which earlier owners
@@ -290,7 +299,7 @@
 	}
 	for _, r := range list.Workers() {
 		m.addWorker(&worker{
-			id: r.ID(), persisted: true, attempts: make(map[attemptKey]*attempt),
+			id: r.ID(), storedAddress: r.Address(), attempts: make(map[attemptKey]*attempt),
 			info:     NewWorkerInfo(r.ID(), r.Address(), r.Service(), r.Domain(), order.Resources{}),
 			leaseEnd: m.startedAt.Add(maxLeaseTime(m.limits.maxLease)),
 		})
@@ -311,7 +320,7 @@
 		m.journal.workersVersion, m.journal.workersInFlight = in.version, false
 	}
 	for _, w := range f.workers {
-		w.persisted = true
+		w.worker.storedAddress = w.address
 	}
 	for i, j := range f.jobs {
 		j.inFlight, j.persisted = false, true
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -715,6 +715,28 @@
 	d.is.True(s.order.to.worker != drained)
 }
 
+// A later owner finds the runs of a worker only at the stored address.
+func TestNoStartAtAddressThatIsNotStored(t *testing.T) {
+	d := newDriver(t, testEpoch)
+	d.configure(policy.Advice{}, order.Resources{})
+	d.addWorkers("w1")
+	d.feed(NewWorkersMsg([]WorkerInfo{workerInfo("w2", 1)}, nil, false))
+	d.advance(2 * flushInterval)
+	former, ok := d.takeCommit()
+	d.is.True(ok)
+	moved := workerInfo("w1", 2)
+	moved.address = "10.0.1.9:80"
+	d.feed(NewWorkersMsg([]WorkerInfo{moved}, nil, false))
+	d.answerPoll("w1", nil, nil) // of the former life
+	d.advance(time.Second)
+	d.answerPollWith("w1", NewReport(d.workerClock(), 2, nil, nil))
+	d.version++
+	d.feed(CommittedMsg{batchID: former.batchID, version: d.version})
+	d.is.True(!d.usable(d.m.workers["w1"]))
+	d.commitAll()
+	d.is.True(d.usable(d.m.workers["w1"]))
+}
+
 // A draining worker that no connection reaches may be cut off and run on.
 func TestNoRestartWhileDrainingWorkerIsCutOff(t *testing.T) {
 	d, drained := newDrainingDriver(t)
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -19,9 +19,9 @@
 		listed   bool
 		draining bool
 
-		// persisted reports whether the stored list of workers has the worker,
-		// so that a later owner polls it for its runs.
-		persisted bool
+		// storedAddress is the address that the stored list of workers has. A
+		// later owner polls the worker there for its runs.
+		storedAddress string
 
 		// contacted reports whether the worker has responded in this epoch.
 		// From then on it refuses the orders of earlier owners.
@@ -160,7 +160,6 @@
 	if w == nil {
 		w = &worker{id: info.id, attempts: make(map[attemptKey]*attempt)}
 		m.addWorker(w)
-		m.journal.workersDirty = true
 		m.log.Info().Str("worker", string(info.id)).Str("service", info.service).
 			Str("domain", string(info.domain)).Int64("life", info.incarnation).Msg("yard: worker listed")
 	}
@@ -173,6 +172,9 @@
 	if info.draining && !w.draining {
 		m.log.Info().Str("worker", string(info.id)).Msg("yard: worker drains")
 	}
+	if info.address != w.info.address {
+		m.journal.workersDirty = true
+	}
 	w.info, w.listed, w.draining = info, true, info.draining
 	w.rack = rackOf(info.labels)
 	w.updateFree()
@@ -258,6 +260,12 @@
 	return w.listed || len(w.attempts) > 0 || !w.contacted
 }
 
+// persisted reports whether the stored list of workers has the worker with its
+// present address.
+func (w *worker) persisted() bool {
+	return w.info.address != "" && w.storedAddress == w.info.address
+}
+
 // address returns the address for orders to this incarnation of the worker.
 func (w *worker) address() WorkerAddress {
 	return WorkerAddress{address: w.info.address, worker: w.id, incarnation: w.info.incarnation}
