Let a new owner restart the tasks of a worker that has exited

Cause: only a worker that this owner had seen draining and had polled counted as exited. For any other the owner waited for its longest possible lease.

A worker has now exited if the discovery is known not to list it and nothing listens at its address. The second alone is the proof: a port with no listener resets a connection, while a machine without power or behind a partition does not respond, and whatever ran on a worker ends with it. The stored list has the present address of each worker that has tasks. The first keeps a worker that starts again from being removed in between. Being unlisted is no proof, since a worker that is cut off from the store loses its entry as well, and neither is silence; the time window in which a drained worker was removed is not needed any more.

--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -418,6 +418,20 @@
 // earlier owner and the workers on which tasks may have been started. The
 // workers in listed are in the discovery.
 func newSuccessor(t *testing.T, limit order.Resources, steps []order.JobStep, workers []order.WorkerID, listed ...order.WorkerID) *driver {
+	d := newSuccessorBeforeDiscovery(t, steps, workers)
+	var infos []WorkerInfo
+	for _, id := range listed {
+		infos = append(infos, workerInfo(id, 1))
+	}
+	d.feed(NewWorkersMsg(infos, nil, true))
+	d.configure(policy.Advice{}, limit)
+	d.commitAll()
+	return d
+}
+
+// newSuccessorBeforeDiscovery returns the driver of newSuccessor as it is before
+// the discovery is read.
+func newSuccessorBeforeDiscovery(t *testing.T, steps []order.JobStep, workers []order.WorkerID) *driver {
 	d := newDriver(t, 2)
 	job := newJob(testJob, testQueue, testTeam, order.JobSpec{}.WithSteps(steps), testStart, 1)
 	value, err := job.record().MarshalCBOR()
@@ -430,13 +444,6 @@
 	list, err := order.WorkerList{}.WithWorkers(records).MarshalCBOR()
 	d.is.NoErr(err)
 	d.is.NoErr(d.m.RestoreWorkers(entries(WorkersKey, list)[0]))
-	var infos []WorkerInfo
-	for _, id := range listed {
-		infos = append(infos, workerInfo(id, 1))
-	}
-	d.feed(NewWorkersMsg(infos, nil, true))
-	d.configure(policy.Advice{}, limit)
-	d.commitAll()
 	return d
 }
 
@@ -506,6 +513,39 @@
 	d.is.True(d.m.journal.workersDirty || d.m.journal.workersInFlight) // the stored list follows
 }
 
+// A worker that left around a takeover must not hold up its former tasks.
+func TestNewOwnerRestartsTasksOfWorkerThatLeft(t *testing.T) {
+	d := newSuccessor(t, order.Resources{}, []order.JobStep{smallStep(1).WithLasting(true)}, []order.WorkerID{"w1", "gone"}, "w1")
+	d.answerPoll("w1", nil, nil)
+	d.failPoll("gone", ErrNotSent)
+	d.advance(2 * pollRetryDelay)
+	d.is.Equal(d.startedOf(testJob), 0) // it may be cut off
+	d.failPoll("gone", errExited)
+	d.advance(100 * time.Millisecond)
+	d.is.Equal(d.startedOf(testJob), 1)
+}
+
+// A worker that is still listed may be starting again; its entry says so soon.
+func TestNewOwnerWaitsForListedWorkerWithoutListener(t *testing.T) {
+	d := newSuccessor(t, order.Resources{}, []order.JobStep{smallStep(1)}, []order.WorkerID{"w1", "w2"}, "w1", "w2")
+	d.answerPoll("w1", nil, nil)
+	d.failPoll("w2", errExited)
+	d.advance(2 * pollRetryDelay)
+	d.is.Equal(d.startedOf(testJob), 0)
+	d.feed(NewWorkersMsg(nil, []order.WorkerID{"w2"}, false))
+	d.advance(100 * time.Millisecond)
+	d.is.Equal(d.startedOf(testJob), 1)
+}
+
+// Before the discovery is read, no worker is listed, also those that run on.
+func TestNewOwnerWaitsForDiscovery(t *testing.T) {
+	d := newSuccessorBeforeDiscovery(t, []order.JobStep{smallStep(1)}, []order.WorkerID{"w1"})
+	d.configure(policy.Advice{}, order.Resources{})
+	d.failPoll("w1", errExited)
+	d.advance(2 * pollRetryDelay)
+	d.is.Equal(len(d.m.workers), 1)
+}
+
 // The store may lack the last end of a step whose successor runs already. The
 // successor's tasks count too, but not beside those of the step.
 func TestMostWaitingCountsSuccessors(t *testing.T) {
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -16,9 +16,13 @@
 		id       order.WorkerID
 		info     WorkerInfo
 		rack     string
-		listed   bool
 		draining bool
 
+		// listed reports whether the discovery lists the worker, and discovered
+		// whether that is known in this epoch.
+		listed     bool
+		discovered bool
+
 		// storedAddress is the address that the stored list of workers has. A
 		// later owner polls the worker there for its runs.
 		storedAddress string
@@ -39,12 +43,9 @@
 		// certainly expired.
 		leaseEnd time.Time
 
-		// lastReportAt is when the worker last answered a poll, unlistedAt when
-		// the discovery removed it, and connRefused whether nothing listened at
-		// its address at the last poll.
-		lastReportAt time.Time
-		unlistedAt   time.Time
-		connRefused  bool
+		// connRefused reports whether nothing listened at the worker's address
+		// at the last poll.
+		connRefused bool
 
 		// polling reports whether a poll is open. missedCalls counts the failed
 		// calls since the last report.
@@ -124,11 +125,6 @@
 	// would delay the calls that clients wait for.
 	maxFirstContacts = 64
 
-	// departureWindow is less than the three heartbeats (4.5 s) after which the
-	// discovery removes a worker that sends none. A worker that is removed
-	// sooner has deregistered itself.
-	departureWindow = 3 * time.Second
-
 	// rackPrefix begins the label that names a worker's rack.
 	rackPrefix = "r"
 )
@@ -147,7 +143,7 @@
 		return
 	}
 	for _, w := range m.sortedWorkers() {
-		if w.listed && !listed[w.id] {
+		if !listed[w.id] {
 			m.markUnlisted(now, w.id)
 		}
 	}
@@ -175,7 +171,7 @@
 	if info.address != w.info.address {
 		m.journal.workersDirty = true
 	}
-	w.info, w.listed, w.draining = info, true, info.draining
+	w.info, w.listed, w.discovered, w.draining = info, true, true, info.draining
 	w.rack = rackOf(info.labels)
 	w.updateFree()
 }
@@ -195,10 +191,14 @@
 // removed only when it can have no more runs.
 func (m *Scheduler) markUnlisted(now time.Time, id order.WorkerID) {
 	w := m.workers[id]
-	if w == nil || !w.listed {
+	if w == nil {
+		return
+	}
+	w.discovered = true
+	if !w.listed {
 		return
 	}
-	w.listed, w.unlistedAt = false, now
+	w.listed = false
 	m.log.Info().Str("worker", string(id)).Int("runs", len(w.attempts)).Time("lease_end", w.leaseEnd).Msg("yard: worker no longer listed")
 	if len(w.attempts) == 0 && now.After(w.leaseEnd) {
 		m.removeWorker(w)
@@ -337,7 +337,7 @@
 			Int("ended", len(in.report.ended)).Msg("yard: contact with worker established")
 	}
 	w.missedCalls, w.connRefused, w.unresponsive = 0, false, false
-	w.contacted, w.lastReportAt = true, now
+	w.contacted = true
 	w.reported = w.reported || !in.report.moreEnds
 	w.recordClock(now, in.report.clock)
 	m.handleEnds(now, w, in.report.ended)
@@ -458,19 +458,20 @@
 	}
 }
 
-// departed reports whether a draining worker has exited: the discovery removed
-// it sooner than a worker that only stopped sending heartbeats, and nothing
-// listens at its address.
+// departed reports whether the worker has exited: the discovery does not list it
+// and nothing listens at its address. A worker that is cut off from the store is
+// not listed either, but its address does not refuse connections.
 func (w *worker) departed() bool {
-	return w.draining && !w.listed && w.connRefused && w.unlistedAt.Sub(w.lastReportAt) < departureWindow
+	return w.discovered && !w.listed && w.connRefused
 }
 
 // expireRuns ends the runs of workers that departed, and of workers without
 // contact whose last lease has expired.
 func (m *Scheduler) expireRuns(now time.Time) {
 	for _, w := range m.sortedWorkers() {
-		if w.departed() && len(w.attempts) > 0 {
+		if w.departed() {
 			m.dropAttempts(now, w, "worker left")
+			w.leaseEnd = now
 		}
 		if now.Before(w.leaseEnd) || (w.contacted && w.missedCalls == 0) {
 			continue
