Take a worker's incarnation from its first report

Seen by callers: nothing yet, found by the review by reading. A worker known only from the stored list that restarted before the discovery listed it had the first ends of its new life dropped and acknowledged, up to the last number of the former one: tasks that were done ran again or never ended.

Cause: the stored list has no incarnations and reports did not set it, so that the entry in the discovery was not recognized as that of another life.

Evidence before: TestHandlesEndsOfNextLifeOfUnlistedWorker "pending != completed".

--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -777,6 +777,21 @@
 	d.is.True(d.usable(d.m.workers["w1"]))
 }
 
+// The numbers of ends start anew with each life of a worker.
+func TestHandlesEndsOfNextLifeOfUnlistedWorker(t *testing.T) {
+	d := newSuccessor(t, order.Resources{}, []order.JobStep{smallStep(1)}, []order.WorkerID{"w1"})
+	d.answerPoll("w1", nil, []EndedTask{NewEndedTask(7, NewTaskRef(jobID(1), 0, 0, 0), 1, ResultDone, "")})
+	d.feed(NewWorkersMsg([]WorkerInfo{workerInfo("w1", 2)}, nil, false))
+	for d.startedOf(testJob) == 0 {
+		d.advance(100 * time.Millisecond)
+		d.answerPollWith("w1", NewReport(d.workerClock(), 2, nil, nil))
+	}
+	s := d.takeStartOf(testJob)
+	d.advance(100 * time.Millisecond)
+	d.answerPollWith("w1", NewReport(d.workerClock(), 2, nil, []EndedTask{NewEndedTask(1, s.order.task, s.order.run, ResultDone, "")}))
+	d.is.Equal(d.m.jobs[testJob].state, order.JobCompleted)
+}
+
 // A draining worker that no connection reaches may be cut off and run on.
 func TestNoRestartWhileDrainingWorkerIsCutOff(t *testing.T) {
 	d, drained := newDrainingDriver(t)
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -332,6 +332,9 @@
 		m.resetWorker(now, w)
 		return
 	}
+	if w.info.incarnation == 0 {
+		w.info.incarnation = in.report.incarnation
+	}
 	if !w.contacted || w.missedCalls > 0 {
 		m.log.Info().Str("worker", string(w.id)).Int("running", len(in.report.running)).
 			Int("ended", len(in.report.ended)).Msg("yard: contact with worker established")
