Start nothing by the description of a worker's former life

Seen by callers: nothing yet, found by the review by reading.

Evidence before: TestNoStartByDescriptionOfFormerLife "1 != 0". The worker now gets no tasks until the discovery describes its present life.

--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -88,7 +88,7 @@
 
 // schedulable reports whether the worker may get new tasks of the service.
 func (m *Scheduler) schedulable(now time.Time, w *worker, service string) bool {
-	return w.listed && w.persisted() && w.contacted && !w.draining && w.missedCalls == 0 && !w.unresponsive && w.unknownSizes == 0 &&
+	return w.listed && !w.infoStale && w.persisted() && w.contacted && !w.draining && w.missedCalls == 0 && !w.unresponsive && w.unknownSizes == 0 &&
 		w.info.service == service && !m.withdrawn[w.info.domain] && !w.coolingDown(now)
 }
 
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -792,6 +792,24 @@
 	d.is.Equal(d.m.jobs[testJob].state, order.JobCompleted)
 }
 
+// A worker may have another capacity and other labels after a restart.
+func TestNoStartByDescriptionOfFormerLife(t *testing.T) {
+	d := newDriver(t, testEpoch)
+	d.configure(policy.Advice{}, order.Resources{})
+	d.addWorkers("w1")
+	d.advance(100 * time.Millisecond)
+	d.answerPollWith("w1", NewReport(d.workerClock(), 2, nil, nil))
+	d.advance(100 * time.Millisecond)
+	d.answerPollWith("w1", NewReport(d.workerClock(), 2, nil, nil))
+	d.submit(0, smallStep(1))
+	d.commitAll()
+	d.feed(NewWorkersMsg([]WorkerInfo{workerInfo("w1", 1)}, nil, false)) // a late heartbeat
+	d.is.Equal(d.startedOf(jobID(0)), 0)
+	d.feed(NewWorkersMsg([]WorkerInfo{workerInfo("w1", 2)}, nil, false))
+	d.advance(100 * time.Millisecond)
+	d.is.Equal(d.startedOf(jobID(0)), 1)
+}
+
 // A draining worker that no connection reaches may be cut off and run on.
 func TestNoRestartWhileDrainingWorkerIsCutOff(t *testing.T) {
 	d, drained := newDrainingDriver(t)
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -23,6 +23,10 @@
 		listed     bool
 		discovered bool
 
+		// infoStale reports whether info describes an earlier incarnation, whose
+		// capacity and labels may differ.
+		infoStale bool
+
 		// storedAddress is the address that the stored list of workers has. A
 		// later owner polls the worker there for its runs.
 		storedAddress string
@@ -172,6 +176,7 @@
 		m.journal.workersDirty = true
 	}
 	w.info, w.listed, w.discovered, w.draining = info, true, true, info.draining
+	w.infoStale = false
 	w.rack = rackOf(info.labels)
 	w.updateFree()
 }
@@ -328,7 +333,7 @@
 		if in.report.incarnation < w.info.incarnation {
 			return
 		}
-		w.info.incarnation = in.report.incarnation
+		w.info.incarnation, w.infoStale = in.report.incarnation, true
 		m.resetWorker(now, w)
 		return
 	}
