Let urgent steps without room not use up every round

Seen by callers: nothing yet, found by the review by reading. With 48 steps in time or late that never find room, as lasting ones that no worker is large enough for, every round ended with them, and all less urgent steps waited on idle workers (LOST).

Cause: only best-effort steps are skipped for a while after they found no room.

Evidence before: TestPlacesJobsBehindLastingOnesWithoutRoom (480 such steps) "the job was not started within 8 s".

In a backlog of more steps than a round gets through, a step that has waited for 3 s is skipped as well, for twice the time in which the rounds get through the backlog, so that all steps have their turn. Gangs that are not best-effort are still considered in each round, since they reserve workers there.

--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -71,8 +71,10 @@
 		remainingPath time.Duration
 		criticalPath  time.Duration
 
-		// retryAt is when a best-effort step is considered again.
-		retryAt time.Time
+		// retryAt is when the step is considered again, and waitingSince since
+		// when it has waited for capacity, or for a round to reach it.
+		retryAt      time.Time
+		waitingSince time.Time
 
 		// waitReason is why the step was not started, as last logged at
 		// waitLoggedAt.
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -13,6 +13,12 @@
 	// every round and starve those behind them.
 	bestEffortRetryDelay = 250 * time.Millisecond
 
+	// maxWaitEachRound is how long a step that is not best-effort may find no
+	// capacity before it is skipped as well, in a backlog that a round does not
+	// get through. A shorter time would give capacity that becomes free to less
+	// urgent steps.
+	maxWaitEachRound = 3 * time.Second
+
 	// placeInterval limits placement to 125 rounds a second. The tightest
 	// latency objective leaves a few hundred milliseconds for scheduling.
 	placeInterval = 8 * time.Millisecond
@@ -49,18 +55,45 @@
 	pending := m.pendingSteps(now, recovered)
 	m.nextPlacement = now.Add(placeInterval + time.Duration(len(pending))*placeIntervalPerStep)
 	m.headroom = m.measureHeadroom(now)
-	for _, p := range pending {
+	for i, p := range pending {
 		if unplaced == maxUnplacedSteps {
 			m.registry.Count("yard.waits.round")
+			for _, later := range pending[i:] {
+				later.step.recordWaiting(now)
+			}
 			return
 		}
-		if p.rank == rankBestEffort && now.Before(p.step.retryAt) {
+		if now.Before(p.step.retryAt) {
 			continue
 		}
-		if !m.placeStep(now, p, reserved) {
-			unplaced++
-			p.step.retryAt = now.Add(bestEffortRetryDelay)
+		if m.placeStep(now, p, reserved) {
+			p.step.waitingSince = time.Time{}
+			continue
 		}
+		unplaced++
+		p.recordNoRoom(now, m.nextPlacement.Sub(now), len(pending))
+	}
+}
+
+// recordNoRoom sets when a step that found no capacity is considered again, for
+// rounds of the length over a backlog of pending steps. Gangs that are not
+// best-effort are considered in each round, since they reserve workers there.
+func (p pendingStep) recordNoRoom(now time.Time, round time.Duration, pending int) {
+	s := p.step
+	s.recordWaiting(now)
+	switch {
+	case p.rank == rankBestEffort:
+		s.retryAt = now.Add(bestEffortRetryDelay)
+	case pending > maxUnplacedSteps && !s.spec.Gang() && now.Sub(s.waitingSince) > maxWaitEachRound:
+		// Twice the time in which the rounds get through the backlog.
+		s.retryAt = now.Add(max(bestEffortRetryDelay, 2*round*time.Duration(pending/maxUnplacedSteps+1)))
+	}
+}
+
+// recordWaiting records that the step waits for capacity or for its turn.
+func (s *step) recordWaiting(now time.Time) {
+	if s.waitingSince.IsZero() {
+		s.waitingSince = now
 	}
 }
 
@@ -174,6 +207,7 @@
 		}
 		m.start(now, task, w, m.nextRun(task))
 		m.headroom.take(p.queue.Service(), size)
+		p.step.waitingSince = time.Time{}
 		started++
 	}
 	switch {
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -888,6 +888,29 @@
 	t.Fatal("the job was never started")
 }
 
+// A step that lasts is always in time, also if it never finds room.
+func TestPlacesJobsBehindLastingOnesWithoutRoom(t *testing.T) {
+	d := newDriver(t, testEpoch)
+	d.configure(policy.Advice{}, order.Resources{})
+	d.addWorkers("w1")
+	impossible := smallStep(1).WithLasting(true).WithSize(order.NewResources(1<<40, 0, 0))
+	for i := range 10 * maxUnplacedSteps {
+		d.submit(i, impossible)
+		if i%10 == 0 {
+			d.commitAll()
+		}
+	}
+	d.call(order.SubmitJob, smallStep(1))
+	d.commitAll()
+	for range 80 {
+		d.advance(100 * time.Millisecond)
+		if d.startedOf(testJob) > 0 {
+			return
+		}
+	}
+	t.Fatal("the job was not started within 8 s")
+}
+
 // A new owner must count the runs of jobs that have ended until they have
 // stopped. It would exceed the worker's capacity otherwise.
 func TestCountsRunsOfEndedJobs(t *testing.T) {
