Apply only the last event of each worker in an answer of the watch

Seen by callers: nothing yet, found by reading. A worker that was removed and listed again within one answer counted as removed until its next heartbeat, and got no tasks.

Cause: all removals of an answer were applied after all other events.

Evidence before: TestLastEventOfWorkerCounts, three workers in place of one. The same holds where the pages of a list are newer than the version from which the watch goes on: their later events arrive in one answer and an earlier state is no longer applied in between.

--- a/entryhost/cell.go
+++ b/entryhost/cell.go
@@ -160,6 +160,15 @@
 		h.log.Debug().Err(c.Err()).Msg("pier: workers' entries not read")
 		return
 	}
+	infos, removed := h.decodeWorkers(c)
+	if err := runner.Enqueue(scheduler.NewWorkersMsg(infos, removed, c.IsSnapshot())); err != nil {
+		h.log.Error().Err(err).Msg("pier: workers not passed to the cell")
+	}
+}
+
+// decodeWorkers returns the workers that the change adds or updates, and those
+// that it removes. Of several events of an entry the last one counts.
+func (h *Host) decodeWorkers(c storage.Change) ([]scheduler.WorkerInfo, []order.WorkerID) {
 	var infos []scheduler.WorkerInfo
 	var removed []order.WorkerID
 	decode := func(e storage.Entry) {
@@ -175,14 +184,18 @@
 	for _, e := range c.Entries() {
 		decode(e)
 	}
-	for _, e := range c.Events() {
-		if e.Deleted() {
+	last := make(map[string]int)
+	for i, e := range c.Events() {
+		last[e.Entry().Key()] = i
+	}
+	for i, e := range c.Events() {
+		switch {
+		case i != last[e.Entry().Key()]:
+		case e.Deleted():
 			removed = append(removed, h.deps.decoder.WorkerID(e.Entry().Key()))
-			continue
+		default:
+			decode(e.Entry())
 		}
-		decode(e.Entry())
-	}
-	if err := runner.Enqueue(scheduler.NewWorkersMsg(infos, removed, c.IsSnapshot())); err != nil {
-		h.log.Error().Err(err).Msg("pier: workers not passed to the cell")
 	}
+	return infos, removed
 }
