Remove an idle worker that was unlisted between two polls

Seen by callers: nothing yet, found by reading. A worker that the discovery removed while no poll was open was polled no more and stayed in the stored list. Each later owner had to wait for its longest lease if its machine was gone.

Cause: only a failed poll led to the removal.

Evidence before: TestRemovesIdleUnlistedWorker "1 != 0". An unlisted worker without runs is now removed when its last lease has expired.

--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -792,6 +792,20 @@
 	d.is.Equal(d.m.jobs[testJob].state, order.JobCompleted)
 }
 
+// An idle worker that is removed between two polls must not stay in the list.
+func TestRemovesIdleUnlistedWorker(t *testing.T) {
+	d := newDriver(t, testEpoch)
+	d.configure(policy.Advice{}, order.Resources{})
+	d.addWorkers("w1")
+	d.advance(100 * time.Millisecond)
+	d.answerPoll("w1", nil, nil)
+	d.feed(NewWorkersMsg(nil, []order.WorkerID{"w1"}, false))
+	_, polled := d.takePoll()
+	d.is.True(!polled)
+	d.advance(maxLeaseTime(leaseDuration) + time.Second)
+	d.is.Equal(len(d.m.workers), 0)
+}
+
 // A worker may have another capacity and other labels after a restart.
 func TestNoStartByDescriptionOfFormerLife(t *testing.T) {
 	d := newDriver(t, testEpoch)
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -481,7 +481,8 @@
 			m.dropAttempts(now, w, "worker left")
 			w.leaseEnd = now
 		}
-		if now.Before(w.leaseEnd) || (w.contacted && w.missedCalls == 0) {
+		idle := !w.listed && len(w.attempts) == 0
+		if now.Before(w.leaseEnd) || (w.contacted && w.missedCalls == 0 && !idle) {
 			continue
 		}
 		if len(w.attempts) > 0 {
