--- a/scheduler/driver_test.go
+++ b/scheduler/driver_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"errors"
 	"fmt"
 	"testing"
 	"time"
@@ -38,7 +39,12 @@
 	testEpoch  = order.Epoch(1)
 )
 
-var testStart = time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
+var (
+	testStart = time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
+
+	// errExited is the error of an order to a worker that has exited.
+	errExited = errors.Join(ErrNotSent, ErrNotListening)
+)
 
 func newDriver(t testing.TB, epoch order.Epoch) *driver {
 	registry := gauge.New(zerolog.Nop())
@@ -129,11 +135,38 @@
 
 // answerPoll answers the open poll of a worker.
 func (d *driver) answerPoll(id order.WorkerID, running []RunningTask, ended []EndedTask) {
+	d.t.Helper()
+	d.answerPollWith(id, NewReport(d.workerClock(), 1, running, ended))
+}
+
+// answerPartialPoll answers the open poll of a worker that runs nothing and has
+// more ends than those listed.
+func (d *driver) answerPartialPoll(id order.WorkerID, ended []EndedTask) {
+	d.t.Helper()
+	d.answerPollWith(id, NewReport(d.workerClock(), 1, nil, ended).WithMoreEnds(true))
+}
+
+func (d *driver) workerClock() int64 { return 1000 + d.now.Sub(testStart).Milliseconds() }
+
+func (d *driver) answerPollWith(id order.WorkerID, report Report) {
+	d.t.Helper()
+	for i, c := range d.commands {
+		if poll, ok := c.(PollCmd); ok && poll.order.to.worker == id {
+			d.removeCommand(i)
+			d.feed(PolledMsg{order: poll.order, sentAt: d.now, report: report})
+			return
+		}
+	}
+	d.t.Fatalf("no open poll of %s", id)
+}
+
+// failPoll answers the open poll of a worker with the error.
+func (d *driver) failPoll(id order.WorkerID, err error) {
 	d.t.Helper()
 	for i, c := range d.commands {
 		if poll, ok := c.(PollCmd); ok && poll.order.to.worker == id {
 			d.removeCommand(i)
-			d.feed(PolledMsg{order: poll.order, sentAt: d.now, report: NewReport(1000+d.now.Sub(testStart).Milliseconds(), 1, running, ended)})
+			d.feed(PolledMsg{order: poll.order, sentAt: d.now, err: err})
 			return
 		}
 	}
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -75,8 +75,10 @@
 		remainingPath time.Duration
 		criticalPath  time.Duration
 
-		// retryAt is when a best-effort step is considered again.
-		retryAt time.Time
+		// retryAt is when the step is considered again, and waitingSince since
+		// when it has waited for capacity, or for a round to reach it.
+		retryAt      time.Time
+		waitingSince time.Time
 
 		// waitReason is why the step was not started, as last logged at
 		// waitLoggedAt.
@@ -87,6 +89,9 @@
 		gangFailedRuns []int
 		gangCheckpoint string
 
+		// failedOn has when a task of the step last failed on each worker.
+		failedOn map[order.WorkerID]time.Time
+
 		// tickets holds the ticket of each worker that may run the step; it is
 		// nil until the first advice. ticketedWorkers are all workers that ever
 		// got a ticket, in the order of the responses. requestedWorkers are
--- a/scheduler/journal.go
+++ b/scheduler/journal.go
@@ -32,7 +32,14 @@
 		jobs    []*job
 		seqs    []int
 		states  []order.JobState
-		workers []*worker
+		workers []storedWorker
+	}
+
+	// storedWorker is a worker in a list that was sent to the store, with its
+	// address there.
+	storedWorker struct {
+		worker  *worker
+		address string
 	}
 )
 
@@ -259,17 +266,17 @@
 // addWorkerList adds the list of workers to the batch if it has changed. It
 // returns the workers in the list, or nil. Workers that never responded are not
 // listed, as no task was started there.
-func (m *Scheduler) addWorkerList(batch storage.Batch) (storage.Batch, []*worker) {
+func (m *Scheduler) addWorkerList(batch storage.Batch) (storage.Batch, []storedWorker) {
 	if !m.journal.workersDirty || m.journal.workersInFlight {
 		return batch, nil
 	}
-	workers := make([]*worker, 0, len(m.workers))
+	sent := make([]storedWorker, 0, len(m.workers))
 	records := make([]order.WorkerRecord, 0, len(m.workers))
 	for _, w := range m.sortedWorkers() {
-		if !w.contacted && !w.persisted {
+		if !w.contacted && w.storedAddress == "" {
 			continue
 		}
-		workers = append(workers, w)
+		sent = append(sent, storedWorker{w, w.info.address})
 		records = append(records, order.WorkerRecord{}.WithID(w.id).WithAddress(w.info.address).
 			WithService(w.info.service).WithDomain(w.info.domain))
 	}
@@ -279,7 +286,7 @@
 		return batch, nil
 	}
 	m.journal.workersDirty, m.journal.workersInFlight = false, true
-	return batch.Expect(WorkersKey, m.journal.workersVersion).Put(WorkersKey, value, 0), workers
+	return batch.Expect(WorkersKey, m.journal.workersVersion).Put(WorkersKey, value, 0), sent
 }
 
 // RestoreWorkers adds the workers that the store lists, on which earlier owners
@@ -301,7 +308,7 @@
 	}
 	for _, r := range list.Workers() {
 		m.addWorker(&worker{
-			id: r.ID(), persisted: true, attempts: make(map[attemptKey]*attempt),
+			id: r.ID(), storedAddress: r.Address(), attempts: make(map[attemptKey]*attempt),
 			info:     NewWorkerInfo(r.ID(), r.Address(), r.Service(), r.Domain(), order.Resources{}),
 			leaseEnd: leaseEnd,
 		})
@@ -323,7 +330,7 @@
 		m.journal.workersVersion, m.journal.workersInFlight = in.version, false
 	}
 	for _, w := range f.workers {
-		w.persisted = true
+		w.worker.storedAddress = w.address
 	}
 	for i, j := range f.jobs {
 		j.inFlight, j.persisted = false, true
--- a/scheduler/orders.go
+++ b/scheduler/orders.go
@@ -71,13 +71,15 @@
 	}
 
 	// Report is a worker's response to a poll. Its clock and incarnation are
-	// zero if the response lacks them.
+	// zero if the response lacks them. The list of ended runs has only the first
+	// of them if moreEnds is set; the list of running ones is complete.
 	Report struct {
 		clock       int64
 		incarnation int64
 		running     []RunningTask
 		ended       []EndedTask
 		unreadable  int
+		moreEnds    bool
 	}
 
 	// RunningTask is a run that a worker executes.
@@ -175,6 +177,10 @@
 	// ErrNotSent reports that no byte of the order left this process.
 	ErrNotSent = errors.New("order not sent")
 
+	// ErrNotListening reports, beside ErrNotSent, that nothing listens at the
+	// worker's address. A worker that is cut off does not respond instead.
+	ErrNotListening = errors.New("nothing listens at the address")
+
 	resultNames  = [...]string{ResultDone: "done", ResultFailed: "failed", ResultStopped: "stopped", ResultLeaseExpired: "lapsed", ResultGangEnded: "broken", ResultGangTimeout: "alone"}
 	refusalNames = [...]string{
 		RefusedStaleEpoch: "fence", RefusedKnownRun: "run", RefusedLeaseExpired: "late", RefusedNoCapacity: "room",
@@ -218,6 +224,13 @@
 	return r
 }
 
+// WithMoreEnds returns a copy that says whether the worker may have more ended
+// runs than those listed.
+func (r Report) WithMoreEnds(more bool) Report {
+	r.moreEnds = more
+	return r
+}
+
 // NewRunningTask returns a run that a worker executes, with its last
 // checkpoint and its progress in percent.
 func NewRunningTask(task TaskRef, run int, checkpoint string, percent int) RunningTask {
@@ -330,6 +343,10 @@
 // means not at all.
 func (o PollOrder) Wait() time.Duration { return o.wait }
 
+// MoreEnds reports whether the worker may have more ended runs than those
+// listed.
+func (r Report) MoreEnds() bool { return r.moreEnds }
+
 // Reason returns why the worker refused the order.
 func (e *RefusedError) Reason() Refusal { return e.reason }
 
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -148,6 +148,71 @@
 	d.is.Equal(second.order.run, 2)
 }
 
+// A run that is missing from a report without the last ends may be done.
+func TestNoRestartOfRunsBehindLongListOfEnds(t *testing.T) {
+	d := newDriver(t, testEpoch)
+	d.configure(policy.Advice{}, order.Resources{})
+	d.addWorkers("w1")
+	d.call(order.SubmitJob, smallStep(3))
+	d.commitAll()
+	var starts []StartCmd
+	for range 3 {
+		s, ok := d.takeStart()
+		d.is.True(ok)
+		starts = append(starts, s)
+	}
+	for i, err := range []error{nil, nil, errDiverged} {
+		d.answerStart(starts[i], err)
+	}
+	d.advance(100 * time.Millisecond)
+	first := []EndedTask{NewEndedTask(1, starts[0].order.task, 1, ResultDone, "")}
+	d.answerPartialPoll("w1", first)
+	for range 5 {
+		d.advance(stopRetryInterval)
+		if stop, ok := d.takeStop(); ok {
+			d.feed(StoppedMsg{order: stop.order})
+		}
+		d.answerPartialPoll("w1", first)
+	}
+	_, again := d.takeStart()
+	d.is.True(!again) // the other runs may be done
+	d.commitAll()
+	d.advance(maxUnackedPollDelay + pollDelay)
+	for poll, ok := d.takePoll(); ok; poll, ok = d.takePoll() {
+		d.feed(PolledMsg{order: poll.order, sentAt: d.now, report: NewReport(5000, 1, nil, []EndedTask{
+			NewEndedTask(2, starts[1].order.task, 1, ResultDone, ""), NewEndedTask(3, starts[2].order.task, 1, ResultDone, ""),
+		})})
+	}
+	d.is.Equal(d.m.jobs[testJob].state, order.JobCompleted)
+	_, again = d.takeStart()
+	d.is.True(!again)
+}
+
+// A confirmed stop does not prove that the run had not ended as done before.
+func TestNoRestartOfStoppedRunBehindLongListOfEnds(t *testing.T) {
+	d := newDriver(t, testEpoch)
+	d.configure(policy.Advice{}, order.Resources{})
+	d.addWorkers("w1")
+	d.call(order.SubmitJob, smallStep(1))
+	d.commitAll()
+	s, ok := d.takeStart()
+	d.is.True(ok)
+	d.answerStart(s, nil)
+	d.m.stop(d.now, d.m.findAttempt(s.order.to, s.order.task, s.order.run))
+	d.advance(100 * time.Millisecond)
+	stop, ok := d.takeStop()
+	d.is.True(ok)
+	d.feed(StoppedMsg{order: stop.order})
+	d.advance(100 * time.Millisecond)
+	d.answerPartialPoll("w1", nil)
+	d.advance(100 * time.Millisecond)
+	_, again := d.takeStart()
+	d.is.True(!again)
+	d.answerPoll("w1", nil, nil)
+	_, again = d.takeStart()
+	d.is.True(again) // a whole report lacks the run
+}
+
 // The end of a run must not be acknowledged before the store has it: the worker
 // would drop it, and a new owner would never receive it.
 func TestAcknowledgesOnlyStoredEnds(t *testing.T) {
@@ -336,10 +401,37 @@
 	d.is.True(!started) // w2 runs it
 }
 
+// The first report to a new owner may lack the end of a task that is done.
+func TestNewOwnerWaitsForAllEnds(t *testing.T) {
+	d := newSuccessor(t, order.Resources{}, []order.JobStep{smallStep(2)}, []order.WorkerID{"w1"}, "w1")
+	first := []EndedTask{NewEndedTask(1, NewTaskRef(testJob, 0, 0, 0), 1, ResultDone, "")}
+	d.answerPartialPoll("w1", first)
+	d.is.Equal(d.startedOf(testJob), 0)
+	d.commitAll()
+	d.advance(maxUnackedPollDelay + pollDelay)
+	d.answerPoll("w1", nil, []EndedTask{NewEndedTask(2, NewTaskRef(testJob, 0, 0, 1), 1, ResultDone, "")})
+	d.is.Equal(d.startedOf(testJob), 0)
+	d.is.Equal(d.m.jobs[testJob].state, order.JobCompleted)
+}
+
 // newSuccessor returns a driver whose cell was taken over with a job of an
 // earlier owner and the workers on which tasks may have been started. The
 // workers in listed are in the discovery.
 func newSuccessor(t *testing.T, limit order.Resources, steps []order.JobStep, workers []order.WorkerID, listed ...order.WorkerID) *driver {
+	d := newSuccessorBeforeDiscovery(t, steps, workers)
+	var infos []WorkerInfo
+	for _, id := range listed {
+		infos = append(infos, workerInfo(id, 1))
+	}
+	d.feed(NewWorkersMsg(infos, nil, true))
+	d.configure(policy.Advice{}, limit)
+	d.commitAll()
+	return d
+}
+
+// newSuccessorBeforeDiscovery returns the driver of newSuccessor as it is before
+// the discovery is read.
+func newSuccessorBeforeDiscovery(t *testing.T, steps []order.JobStep, workers []order.WorkerID) *driver {
 	d := newDriver(t, 2)
 	job := newJob(testJob, testQueue, testTeam, order.JobSpec{}.WithSteps(steps), testStart, 1)
 	value, err := job.record().MarshalCBOR()
@@ -352,13 +444,6 @@
 	list, err := order.WorkerList{}.WithWorkers(records).MarshalCBOR()
 	d.is.NoErr(err)
 	d.m.RestoreWorkers(entries(WorkersKey, list)[0])
-	var infos []WorkerInfo
-	for _, id := range listed {
-		infos = append(infos, workerInfo(id, 1))
-	}
-	d.feed(NewWorkersMsg(infos, nil, true))
-	d.configure(policy.Advice{}, limit)
-	d.commitAll()
 	return d
 }
 
@@ -428,6 +513,39 @@
 	d.is.True(d.m.journal.workersDirty || d.m.journal.workersInFlight) // the stored list follows
 }
 
+// A worker that left around a takeover must not hold up its former tasks.
+func TestNewOwnerRestartsTasksOfWorkerThatLeft(t *testing.T) {
+	d := newSuccessor(t, order.Resources{}, []order.JobStep{smallStep(1).WithLasting(true)}, []order.WorkerID{"w1", "gone"}, "w1")
+	d.answerPoll("w1", nil, nil)
+	d.failPoll("gone", ErrNotSent)
+	d.advance(2 * pollRetryDelay)
+	d.is.Equal(d.startedOf(testJob), 0) // it may be cut off
+	d.failPoll("gone", errExited)
+	d.advance(100 * time.Millisecond)
+	d.is.Equal(d.startedOf(testJob), 1)
+}
+
+// A worker that is still listed may be starting again; its entry says so soon.
+func TestNewOwnerWaitsForListedWorkerWithoutListener(t *testing.T) {
+	d := newSuccessor(t, order.Resources{}, []order.JobStep{smallStep(1)}, []order.WorkerID{"w1", "w2"}, "w1", "w2")
+	d.answerPoll("w1", nil, nil)
+	d.failPoll("w2", errExited)
+	d.advance(2 * pollRetryDelay)
+	d.is.Equal(d.startedOf(testJob), 0)
+	d.feed(NewWorkersMsg(nil, []order.WorkerID{"w2"}, false))
+	d.advance(100 * time.Millisecond)
+	d.is.Equal(d.startedOf(testJob), 1)
+}
+
+// Before the discovery is read, no worker is listed, also those that run on.
+func TestNewOwnerWaitsForDiscovery(t *testing.T) {
+	d := newSuccessorBeforeDiscovery(t, []order.JobStep{smallStep(1)}, []order.WorkerID{"w1"})
+	d.configure(policy.Advice{}, order.Resources{})
+	d.failPoll("w1", errExited)
+	d.advance(2 * pollRetryDelay)
+	d.is.Equal(len(d.m.workers), 1)
+}
+
 // The store may lack the last end of a step whose successor runs already. The
 // successor's tasks count too, but not beside those of the step.
 func TestMostWaitingCountsSuccessors(t *testing.T) {
@@ -625,6 +743,101 @@
 // The tasks of a worker that exits at the end of its drain must start again at
 // once, without waiting for its lease to expire.
 func TestRestartsOnceDrainedWorkerLeft(t *testing.T) {
+	d, drained := newDrainingDriver(t)
+	d.failPoll(drained, errExited)
+	d.advance(50 * time.Millisecond)
+	_, ok := d.takeStart()
+	d.is.True(!ok) // it may be restarting
+	d.feed(NewWorkersMsg(nil, []order.WorkerID{drained}, false))
+	d.advance(50 * time.Millisecond)
+	s, ok := d.takeStart()
+	d.is.True(ok)
+	d.is.True(s.order.to.worker != drained)
+}
+
+// A later owner finds the runs of a worker only at the stored address.
+func TestNoStartAtAddressThatIsNotStored(t *testing.T) {
+	d := newDriver(t, testEpoch)
+	d.configure(policy.Advice{}, order.Resources{})
+	d.addWorkers("w1")
+	d.feed(NewWorkersMsg([]WorkerInfo{workerInfo("w2", 1)}, nil, false))
+	d.answerPoll("w2", nil, nil) // a list with w2 is sent
+	d.advance(2 * flushInterval)
+	former, ok := d.takeCommit()
+	d.is.True(ok)
+	moved := workerInfo("w1", 2)
+	moved.address = "10.0.1.9:80"
+	d.feed(NewWorkersMsg([]WorkerInfo{moved}, nil, false))
+	d.answerPoll("w1", nil, nil) // of the former life
+	d.advance(time.Second)
+	d.answerPollWith("w1", NewReport(d.workerClock(), 2, nil, nil))
+	d.version++
+	d.feed(CommittedMsg{batchID: former.batchID, version: d.version})
+	d.is.True(!d.usable(d.m.workers["w1"]))
+	d.commitAll()
+	d.is.True(d.usable(d.m.workers["w1"]))
+}
+
+// The numbers of ends start anew with each life of a worker.
+func TestHandlesEndsOfNextLifeOfUnlistedWorker(t *testing.T) {
+	d := newSuccessor(t, order.Resources{}, []order.JobStep{smallStep(1)}, []order.WorkerID{"w1"})
+	d.answerPoll("w1", nil, []EndedTask{NewEndedTask(7, NewTaskRef(jobID(1), 0, 0, 0), 1, ResultDone, "")})
+	d.feed(NewWorkersMsg([]WorkerInfo{workerInfo("w1", 2)}, nil, false))
+	for d.startedOf(testJob) == 0 {
+		d.advance(100 * time.Millisecond)
+		d.answerPollWith("w1", NewReport(d.workerClock(), 2, nil, nil))
+	}
+	s := d.takeStartOf(testJob)
+	d.advance(100 * time.Millisecond)
+	d.answerPollWith("w1", NewReport(d.workerClock(), 2, nil, []EndedTask{NewEndedTask(1, s.order.task, s.order.run, ResultDone, "")}))
+	d.is.Equal(d.m.jobs[testJob].state, order.JobCompleted)
+}
+
+// An idle worker that is removed between two polls must not stay in the list.
+func TestRemovesIdleUnlistedWorker(t *testing.T) {
+	d := newDriver(t, testEpoch)
+	d.configure(policy.Advice{}, order.Resources{})
+	d.addWorkers("w1")
+	d.advance(100 * time.Millisecond)
+	d.answerPoll("w1", nil, nil)
+	d.feed(NewWorkersMsg(nil, []order.WorkerID{"w1"}, false))
+	_, polled := d.takePoll()
+	d.is.True(!polled)
+	d.advance(maxLeaseTime(leaseDuration) + time.Second)
+	d.is.Equal(len(d.m.workers), 0)
+}
+
+// A worker may have another capacity and other labels after a restart.
+func TestNoStartByDescriptionOfFormerLife(t *testing.T) {
+	d := newDriver(t, testEpoch)
+	d.configure(policy.Advice{}, order.Resources{})
+	d.addWorkers("w1")
+	d.advance(100 * time.Millisecond)
+	d.answerPollWith("w1", NewReport(d.workerClock(), 2, nil, nil))
+	d.advance(100 * time.Millisecond)
+	d.answerPollWith("w1", NewReport(d.workerClock(), 2, nil, nil))
+	d.submit(0, smallStep(1))
+	d.commitAll()
+	d.feed(NewWorkersMsg([]WorkerInfo{workerInfo("w1", 1)}, nil, false)) // a late heartbeat
+	d.is.Equal(d.startedOf(jobID(0)), 0)
+	d.feed(NewWorkersMsg([]WorkerInfo{workerInfo("w1", 2)}, nil, false))
+	d.advance(100 * time.Millisecond)
+	d.is.Equal(d.startedOf(jobID(0)), 1)
+}
+
+// A draining worker that no connection reaches may be cut off and run on.
+func TestNoRestartWhileDrainingWorkerIsCutOff(t *testing.T) {
+	d, drained := newDrainingDriver(t)
+	d.failPoll(drained, ErrNotSent)
+	d.feed(NewWorkersMsg(nil, []order.WorkerID{drained}, false))
+	d.advance(leaseDuration - 2*time.Second)
+	_, ok := d.takeStart()
+	d.is.True(!ok)
+}
+
+// newDrainingDriver returns a driver with two workers, of which the one that is
+// returned runs a task and drains.
+func newDrainingDriver(t *testing.T) (*driver, order.WorkerID) {
 	d := newDriver(t, testEpoch)
 	d.configure(policy.Advice{}, order.Resources{})
 	d.addWorkers("w1", "w2")
@@ -637,22 +850,7 @@
 	d.advance(time.Second)
 	d.answerPoll(drained, []RunningTask{NewRunningTask(s.order.task, 1, "", 50)}, nil)
 	d.advance(time.Second)
-	for {
-		h, ok := d.takePoll()
-		d.is.True(ok)
-		if h.order.to.worker == drained {
-			d.feed(PolledMsg{order: h.order, sentAt: d.now, err: ErrNotSent})
-			break
-		}
-	}
-	d.advance(50 * time.Millisecond)
-	_, ok := d.takeStart()
-	d.is.True(!ok) // it may have lost only its connection
-	d.feed(NewWorkersMsg(nil, []order.WorkerID{drained}, false))
-	d.advance(50 * time.Millisecond)
-	s, ok = d.takeStart()
-	d.is.True(ok)
-	d.is.True(s.order.to.worker != drained)
+	return d, drained
 }
 
 // A long backlog of a team at its limit must not delay the jobs of other teams.
@@ -705,6 +903,29 @@
 	t.Fatal("the job was never started")
 }
 
+// A step that lasts is always in time, also if it never finds room.
+func TestPlacesJobsBehindLastingOnesWithoutRoom(t *testing.T) {
+	d := newDriver(t, testEpoch)
+	d.configure(policy.Advice{}, order.Resources{})
+	d.addWorkers("w1")
+	impossible := smallStep(1).WithLasting(true).WithSize(order.NewResources(1<<40, 0, 0))
+	for i := range 10 * maxUnplacedSteps {
+		d.submit(i, impossible)
+		if i%10 == 0 {
+			d.commitAll()
+		}
+	}
+	d.call(order.SubmitJob, smallStep(1))
+	d.commitAll()
+	for range 80 {
+		d.advance(100 * time.Millisecond)
+		if d.startedOf(testJob) > 0 {
+			return
+		}
+	}
+	t.Fatal("the job was not started within 8 s")
+}
+
 // A new owner must count the runs of jobs that have ended until they have
 // stopped. It would exceed the worker's capacity otherwise.
 func TestCountsRunsOfEndedJobs(t *testing.T) {
--- a/scheduler/two_owners_test.go
+++ b/scheduler/two_owners_test.go
@@ -387,3 +387,29 @@
 	_, started = d.takeStart()
 	d.is.True(started)
 }
+
+// A worker whose process has exited must not hold up its tasks until the store confirms the ownership again.
+func TestExitedWorkerNeedsNoConfirmation(t *testing.T) {
+	for name, err := range map[string]error{"not listening": ErrNotListening, "another worker": NewRefusedError(RefusedIncarnation, 0)} {
+		t.Run(name, func(t *testing.T) {
+			d := newDriver(t, testEpoch)
+			d.configure(policy.Advice{}, order.Resources{})
+			d.addWorkers("w1", "w2")
+			d.call(order.SubmitJob, smallStep(1))
+			d.commitAll()
+			s, ok := d.takeStart()
+			d.is.True(ok)
+			d.answerStart(s, nil)
+			d.unconfirmed = true
+			d.feed(NewWorkersMsg(nil, []order.WorkerID{s.order.to.worker}, false))
+			for range 5 {
+				d.failPoll(s.order.to.worker, err)
+				d.advance(pollRetryDelay + 20*time.Millisecond)
+				if d.startedOf(testJob) == 1 {
+					return
+				}
+			}
+			t.Fatal("the task did not start again")
+		})
+	}
+}
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -16,17 +16,29 @@
 		id       order.WorkerID
 		info     WorkerInfo
 		rack     string
-		listed   bool
 		draining bool
 
-		// persisted reports whether the stored list of workers has the worker,
-		// so that a later owner polls it for its runs.
-		persisted bool
+		// listed reports whether the discovery lists the worker, and discovered
+		// whether that is known in this epoch.
+		listed     bool
+		discovered bool
+
+		// infoStale reports whether info describes an earlier incarnation, whose
+		// capacity and labels may differ.
+		infoStale bool
+
+		// storedAddress is the address that the stored list of workers has. A
+		// later owner polls the worker there for its runs.
+		storedAddress string
 
 		// contacted reports whether the worker has responded in this epoch.
 		// From then on it refuses the orders of earlier owners.
 		contacted bool
 
+		// reported reports whether a report of this epoch had all ends, so that
+		// all that earlier owners started is known.
+		reported bool
+
 		// clockMillis is the worker's clock in milliseconds as of clockReadAt.
 		clockMillis int64
 		clockReadAt time.Time
@@ -35,12 +47,9 @@
 		// certainly expired.
 		leaseEnd time.Time
 
-		// lastReportAt is when the worker last answered a poll, unlistedAt when
-		// the discovery removed it, and connRefused whether the last poll
-		// failed before any byte was sent.
-		lastReportAt time.Time
-		unlistedAt   time.Time
-		connRefused  bool
+		// connRefused reports whether nothing listened at the worker's address
+		// at the last poll.
+		connRefused bool
 
 		// polling reports whether a poll is open. missedCalls counts the failed
 		// calls since the last report.
@@ -70,8 +79,10 @@
 		// unknownSizes counts the runs whose size is not known.
 		unknownSizes int
 
-		// failures counts the failed tasks since the last one that completed.
-		failures      int
+		// failures are the failed runs since the last one that completed.
+		// cooldownUntil is when the worker may get new tasks after refusals,
+		// stalled runs and earlier failures.
+		failures      []failure
 		cooldownUntil time.Time
 	}
 
@@ -121,11 +132,6 @@
 	// would delay the calls that clients wait for.
 	maxFirstContacts = 64
 
-	// departureWindow is less than the three heartbeats (4.5 s) after which the
-	// discovery removes a worker that sends none. A worker that is removed
-	// sooner has deregistered itself.
-	departureWindow = 3 * time.Second
-
 	// rackPrefix begins the label that names a worker's rack.
 	rackPrefix = "r"
 )
@@ -138,14 +144,14 @@
 		m.updateWorker(now, info)
 	}
 	for _, id := range in.removed {
-		m.markUnlisted(now, id)
+		m.markUnlisted(id)
 	}
 	if !in.complete {
 		return
 	}
 	for _, w := range m.sortedWorkers() {
-		if w.listed && !listed[w.id] {
-			m.markUnlisted(now, w.id)
+		if !listed[w.id] {
+			m.markUnlisted(w.id)
 		}
 	}
 }
@@ -169,7 +175,11 @@
 	if info.draining && !w.draining {
 		m.log.Info().Str("worker", string(info.id)).Msg("yard: worker drains")
 	}
-	w.info, w.listed, w.draining = info, true, info.draining
+	if info.address != w.info.address && (w.contacted || w.storedAddress != "") {
+		m.journal.workersDirty = true
+	}
+	w.info, w.listed, w.discovered, w.draining = info, true, true, info.draining
+	w.infoStale = false
 	w.rack = rackOf(info.labels)
 	w.updateFree()
 }
@@ -187,12 +197,16 @@
 
 // markUnlisted handles a worker that the discovery no longer lists. It is
 // removed only when it can have no more runs.
-func (m *Scheduler) markUnlisted(now time.Time, id order.WorkerID) {
+func (m *Scheduler) markUnlisted(id order.WorkerID) {
 	w := m.workers[id]
-	if w == nil || !w.listed {
+	if w == nil {
 		return
 	}
-	w.listed, w.unlistedAt = false, now
+	w.discovered = true
+	if !w.listed {
+		return
+	}
+	w.listed = false
 	m.log.Info().Str("worker", string(id)).Int("runs", len(w.attempts)).Time("lease_end", w.leaseEnd).Msg("yard: worker no longer listed")
 	if len(w.attempts) == 0 && m.lapsed(w) {
 		m.removeWorker(w)
@@ -205,7 +219,7 @@
 		Dur("ownership_age", m.ownershipAge(now)).Msg("yard: worker restarted")
 	m.dropAttempts(now, w, "worker started anew")
 	w.unackedEnds, w.lastEnded, w.acked = nil, 0, 0
-	w.clockReadAt, w.contacted, w.failures = time.Time{}, false, 0
+	w.clockReadAt, w.contacted, w.reported, w.failures = time.Time{}, false, false, nil
 	w.missedCalls, w.unresponsive, w.cooldownUntil = 0, false, time.Time{}
 }
 
@@ -255,6 +269,12 @@
 	return w.listed || len(w.attempts) > 0 || !w.contacted
 }
 
+// persisted reports whether the stored list of workers has the worker with its
+// present address.
+func (w *worker) persisted() bool {
+	return w.info.address != "" && w.storedAddress == w.info.address
+}
+
 // address returns the address for orders to this incarnation of the worker.
 func (w *worker) address() WorkerAddress {
 	return WorkerAddress{address: w.info.address, worker: w.id, incarnation: w.info.incarnation}
@@ -321,18 +341,22 @@
 		if in.report.incarnation < w.info.incarnation {
 			return
 		}
-		w.info.incarnation = in.report.incarnation
+		w.info.incarnation, w.infoStale = in.report.incarnation, true
 		m.resetWorker(now, w)
 		return
 	}
+	if w.info.incarnation == 0 {
+		w.info.incarnation = in.report.incarnation
+	}
 	if !w.contacted || w.missedCalls > 0 {
 		m.log.Info().Str("worker", string(w.id)).Int("running", len(in.report.running)).
 			Int("ended", len(in.report.ended)).Int("known", len(w.attempts)).Uint64("epoch", uint64(m.epoch)).
 			Msg("yard: contact with worker established")
 	}
 	w.missedCalls, w.connRefused, w.unresponsive = 0, false, false
-	w.contacted, w.lastReportAt = true, now
-	if !w.persisted {
+	w.contacted = true
+	w.reported = w.reported || !in.report.moreEnds
+	if !w.persisted() {
 		m.journal.workersDirty = true
 	}
 	w.recordClock(now, in.report.clock)
@@ -346,12 +370,12 @@
 // logged.
 func (m *Scheduler) handlePollError(now time.Time, w *worker, err error) {
 	w.missedCalls++
-	w.connRefused = errors.Is(err, ErrNotSent)
+	w.connRefused = errors.Is(err, ErrNotListening)
 	w.nextPollAt = now.Add(pollRetryDelay)
 	var refused *RefusedError
 	if !w.listed && errors.As(err, &refused) && refused.reason == RefusedIncarnation {
 		// Another worker has the address, so this one and its runs have ended.
-		w.leaseEnd = now
+		w.leaseEnd = time.Time{}
 	}
 	if w.missedCalls == 1 {
 		m.registry.Count("yard.workers.lost_contact")
@@ -400,7 +424,7 @@
 	}
 	for key, a := range w.attempts {
 		if !present[key] {
-			m.handleMissing(now, a, in.sentAt)
+			m.handleMissing(now, a, in)
 		}
 	}
 }
@@ -440,44 +464,48 @@
 
 // handleMissing handles a run that the report lacks. A poll that was sent
 // before the run's last order proves nothing, since the worker may have
-// responded before it got the order.
-func (m *Scheduler) handleMissing(now time.Time, a *attempt, polledAt time.Time) {
+// responded before it got the order, and neither does a report without the last
+// ends, since the run may have ended.
+func (m *Scheduler) handleMissing(now time.Time, a *attempt, in PolledMsg) {
+	if a.state == attemptStopping && a.stopConfirmedAt.IsZero() {
+		if now.Sub(a.orderedAt) >= stopRetryInterval {
+			m.sendStop(now, a)
+		}
+		return
+	}
+	if in.report.moreEnds {
+		return
+	}
 	switch a.state {
-	case attemptUnconfirmed:
-		if polledAt.After(a.orderedAt) {
+	case attemptUnconfirmed, attemptRunning:
+		if in.sentAt.After(a.orderedAt) {
 			m.stop(now, a)
 		}
 	case attemptStopping:
-		if !a.stopConfirmedAt.IsZero() && polledAt.After(a.stopConfirmedAt) {
+		if in.sentAt.After(a.stopConfirmedAt) {
 			m.release(a)
 			m.requeue(now, a, "stopped before it began")
-			return
-		}
-		if a.stopConfirmedAt.IsZero() && now.Sub(a.orderedAt) >= stopRetryInterval {
-			m.sendStop(now, a)
-		}
-	case attemptRunning:
-		if polledAt.After(a.orderedAt) {
-			m.stop(now, a)
 		}
 	}
 }
 
-// departed reports whether a draining worker has exited: the discovery removed
-// it sooner than a worker that only stopped sending heartbeats, and nothing
-// listens at its address.
+// departed reports whether the worker has exited: the discovery does not list it
+// and nothing listens at its address. A worker that is cut off from the store is
+// not listed either, but its address does not refuse connections.
 func (w *worker) departed() bool {
-	return w.draining && !w.listed && w.connRefused && w.unlistedAt.Sub(w.lastReportAt) < departureWindow
+	return w.discovered && !w.listed && w.connRefused
 }
 
 // expireRuns ends the runs of workers that departed, and of workers without
 // contact whose last lease has lapsed.
 func (m *Scheduler) expireRuns(now time.Time) {
 	for _, w := range m.sortedWorkers() {
-		if w.departed() && len(w.attempts) > 0 {
+		if w.departed() {
 			m.dropAttempts(now, w, "worker left")
+			w.leaseEnd = time.Time{}
 		}
-		if !m.lapsed(w) || (w.contacted && w.missedCalls == 0) {
+		idle := !w.listed && len(w.attempts) == 0
+		if !m.lapsed(w) || (w.contacted && w.missedCalls == 0 && !idle) {
 			continue
 		}
 		if len(w.attempts) > 0 {
@@ -487,9 +515,9 @@
 				Dur("ownership_age", m.ownershipAge(now)).Msg("yard: leases lapsed")
 			m.dropAttempts(now, w, "lease lapsed")
 		}
-		if w.persisted && !w.contacted {
+		if w.storedAddress != "" && !w.contacted {
 			// Runs of earlier owners have expired, and this owner started none.
-			w.persisted, m.journal.workersDirty = false, true
+			w.storedAddress, m.journal.workersDirty = "", true
 		}
 		if !w.listed && !w.polling {
 			m.removeWorker(w)
@@ -498,13 +526,13 @@
 }
 
 // recovered reports whether all runs that earlier owners may have started are
-// known: each worker has reported, or its last lease has lapsed.
+// known: each worker has reported all ends, or its last lease has lapsed.
 func (m *Scheduler) recovered() bool {
 	if m.confirmedAt.Before(m.unlistedLeaseEnd) {
 		return false
 	}
 	for _, w := range m.workers {
-		if !w.contacted && !m.lapsed(w) {
+		if !w.reported && !m.lapsed(w) {
 			return false
 		}
 	}
