Fix a data race in the fixture of TestCommitsSoonAfterLostResponse

The batch is sent again while the first attempt goes on, so that two goroutines read and write lossyStore.loseNext. go test -race failed before: "WARNING: DATA RACE" at both lines of Commit. The field is atomic now; the test checks the same.

--- a/scheduler/runner_test.go
+++ b/scheduler/runner_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -18,13 +19,12 @@
 // set.
 type lossyStore struct {
 	*storage.Memory
-	loseNext bool
+	loseNext atomic.Bool
 }
 
 func (s *lossyStore) Commit(ctx context.Context, batch storage.Batch) (storage.Version, error) {
 	version, err := s.Memory.Commit(ctx, batch)
-	if s.loseNext {
-		s.loseNext = false
+	if s.loseNext.CompareAndSwap(true, false) {
 		<-ctx.Done()
 		return 0, storage.ErrUncertain
 	}
@@ -36,7 +36,8 @@
 // second, and the conflict must not count as another owner's write.
 func TestCommitsSoonAfterLostResponse(t *testing.T) {
 	is := is.New(t)
-	store := &lossyStore{Memory: storage.NewMemory(timers.New()), loseNext: true}
+	store := &lossyStore{Memory: storage.NewMemory(timers.New())}
+	store.loseNext.Store(true)
 	record, err := store.Swap(context.Background(), "cell/owner", 0, []byte("me"), 0)
 	is.NoErr(err)
 	m := New(testMember, testEpoch, storage.NewEntry("cell/owner", nil, record), NewLimits(time.Second, time.Minute),
