Send an order only while the decision behind it stands

Starts waited in the queue of a worker that did not respond, and were sent whatever had happened meanwhile: to the next incarnation of the worker although their tasks ran elsewhere, and more than 3 s after the cancellation of their job was acknowledged. Retries did not ask either.

Cause: a command left the scheduler for good. Neither the runner's queue nor sendWithRetry could see that the run was released, requeued or being stopped.

Each order now carries a permit. The runner uses it before each attempt; the scheduler withdraws it when the run is released, when the worker has a new incarnation, and when a run is to be stopped whose start is not sent yet. One atomic step decides which of the two came first. A start withdrawn before its first use never leaves the process: its capacity is free and its task waits at once, and no stop is needed. One that was used stays as it was: stopped, and counted until the worker confirms. A stop that is due again while the last is still queued is not queued twice.

An order that was not sent for want of a permit is no failed call of the worker, so it neither ends renewals of its lease nor counts as an unreachable address.

The driver of the scripted tests now uses the permits as the runner does: taking an order from it stands for sending it.

--- a/scheduler/attempt.go
+++ b/scheduler/attempt.go
@@ -35,7 +35,7 @@
 	j := t.step.job
 	a := &attempt{
 		ref: t.ref(), run: run, task: t, worker: w, size: t.step.spec.Size(),
-		team: j.team, state: attemptSent, startedAt: now, orderedAt: now,
+		team: j.team, state: attemptSent, startedAt: now, orderedAt: now, startPermit: m.leasePermit(now),
 	}
 	t.state, t.run, t.attempt = taskPlaced, run, a
 	m.allocate(a)
@@ -44,7 +44,7 @@
 	j.started = true
 	o := StartOrder{
 		to: w.address(), task: a.ref, run: run, payload: j.spec.Payload(),
-		leaseEnd: m.grantLease(now, w), epoch: m.epoch, checkpoint: t.resumePoint(),
+		leaseEnd: m.grantLease(now, w), epoch: m.epoch, checkpoint: t.resumePoint(), permit: a.startPermit,
 	}
 	if tk, ok := t.step.tickets[w.id]; ok {
 		o.ticket = tk.text
@@ -80,12 +80,15 @@
 	}
 }
 
-// release frees the capacity of a run that has certainly ended.
+// release frees the capacity of a run that has certainly ended, and withdraws
+// its orders.
 func (m *Scheduler) release(a *attempt) {
 	key := attemptKey{a.ref, a.run}
 	if a.worker.attempts[key] != a {
 		return
 	}
+	a.startPermit.withdraw()
+	a.stopPermit.withdraw()
 	delete(a.worker.attempts, key)
 	a.worker.used = a.worker.used.Minus(a.size)
 	a.worker.updateFree()
@@ -102,16 +105,21 @@
 	if t == nil || t.attempt != a {
 		return
 	}
-	t.attempt = nil
-	if t.state == taskPlaced {
-		t.state = taskWaiting
-	}
+	t.unassign()
 	m.registry.Count("yard.retries." + counterName(reason))
 	m.log.Info().Str("job", string(a.ref.job)).Int("step", a.ref.step).Int("task", a.ref.index).Int("run", a.run).
 		Str("worker", string(a.worker.id)).Str("reason", reason).Msg("yard: run lost")
 	m.stopGang(now, t.step, a.run)
 }
 
+// unassign makes the task wait for its next run, unless it is done.
+func (t *task) unassign() {
+	t.attempt = nil
+	if t.state == taskPlaced {
+		t.state = taskWaiting
+	}
+}
+
 // counterName replaces the spaces of a reason by underscores.
 func counterName(reason string) string {
 	name := []byte(reason)
@@ -137,20 +145,33 @@
 }
 
 // stop orders the worker to end a run. The capacity stays allocated until the
-// run has ended.
+// run has ended. A start that is not sent yet is withdrawn instead.
 func (m *Scheduler) stop(now time.Time, a *attempt) {
 	if a.state == attemptStopping {
 		return
 	}
+	if a.state == attemptSent && a.startPermit.withdraw() {
+		m.registry.Count("yard.starts_withdrawn")
+		m.release(a)
+		if t := a.task; t != nil && t.attempt == a {
+			t.unassign()
+		}
+		return
+	}
 	a.state = attemptStopping
 	m.sendStop(now, a)
 }
 
-// sendStop emits the stop order, also for a repeated one.
+// sendStop emits the stop order, also for a repeated one. It does nothing while
+// the last one is still queued.
 func (m *Scheduler) sendStop(now time.Time, a *attempt) {
 	a.orderedAt = now
+	if a.stopPermit.unused() {
+		return
+	}
+	a.stopPermit = &permit{}
 	m.registry.Count("yard.stops")
-	m.emit(StopCmd{order: StopOrder{to: a.worker.address(), task: a.ref, run: a.run, epoch: m.epoch}})
+	m.emit(StopCmd{order: StopOrder{to: a.worker.address(), task: a.ref, run: a.run, epoch: m.epoch, permit: a.stopPermit}})
 }
 
 // findAttempt returns the run that an order refers to, or nil if it has ended
@@ -179,6 +200,10 @@
 		}
 	case errors.As(in.err, &refused):
 		m.handleRefusal(now, a, refused)
+	case errors.Is(in.err, errWithdrawn):
+		m.registry.Count("yard.start_failed.withdrawn")
+		m.release(a)
+		m.requeue(now, a, "start withdrawn")
 	case errors.Is(in.err, ErrNotSent):
 		m.registry.Count("yard.start_failed.not_sent")
 		a.worker.missedCalls++
@@ -230,6 +255,9 @@
 	if a == nil {
 		return
 	}
+	if a.stopPermit == in.order.permit {
+		a.stopPermit = nil
+	}
 	a.worker.recordClock(now, in.clock)
 	if in.err == nil {
 		a.stopConfirmedAt = now
@@ -298,10 +326,7 @@
 		t.setCheckpoint(e.checkpoint)
 	}
 	if t.attempt == a && a != nil {
-		t.attempt = nil
-		if t.state == taskPlaced {
-			t.state = taskWaiting
-		}
+		t.unassign()
 	}
 	if j.state.Ended() {
 		return j
--- a/scheduler/driver_test.go
+++ b/scheduler/driver_test.go
@@ -47,10 +47,15 @@
 }
 
 func (d *driver) configure(advice policy.Advice, limit order.Resources) {
+	d.feed(NewConfigMsg(testConfig(advice, limit), nil))
+}
+
+// testConfig returns a configuration with one queue and one team.
+func testConfig(advice policy.Advice, limit order.Resources) *policy.Config {
 	q := policy.NewQueue(testQueue, testHost, "/proofs/", "press").WithAttempts(3).
 		WithObjective(2, time.Second).WithAdvice(advice)
 	team := policy.NewTeam(testTeam, []string{testKey}, 1, limit)
-	d.feed(NewConfigMsg(policy.NewConfig(1, []policy.Queue{q}, []policy.Team{team}), nil))
+	return policy.NewConfig(1, []policy.Queue{q}, []policy.Team{team})
 }
 
 // feed applies an input late enough for the next round of placement, and
@@ -118,33 +123,60 @@
 func (d *driver) removeCommand(i int) { d.commands = append(d.commands[:i:i], d.commands[i+1:]...) }
 
 func (d *driver) takeStart() (StartCmd, bool) {
-	for i, c := range d.commands {
-		if found, ok := c.(StartCmd); ok {
-			d.removeCommand(i)
-			return found, true
-		}
-	}
-	return StartCmd{}, false
+	c, ok := d.takeOrder(func(c Command) bool { _, ok := c.(StartCmd); return ok })
+	found, _ := c.(StartCmd)
+	return found, ok
 }
 
 func (d *driver) takeStop() (StopCmd, bool) {
-	for i, c := range d.commands {
-		if found, ok := c.(StopCmd); ok {
-			d.removeCommand(i)
-			return found, true
+	c, ok := d.takeOrder(func(c Command) bool { _, ok := c.(StopCmd); return ok })
+	found, _ := c.(StopCmd)
+	return found, ok
+}
+
+func (d *driver) takePoll() (PollCmd, bool) {
+	c, ok := d.takeOrder(func(c Command) bool { _, ok := c.(PollCmd); return ok })
+	found, _ := c.(PollCmd)
+	return found, ok
+}
+
+// takeOrder removes and returns the next order of a kind as if it were sent. It
+// fails those before that have no valid permit, as the runner does.
+func (d *driver) takeOrder(kind func(Command) bool) (Command, bool) {
+	for i := 0; i < len(d.commands); {
+		c := d.commands[i]
+		if !kind(c) {
+			i++
+			continue
+		}
+		d.removeCommand(i)
+		if d.send(c) {
+			return c, true
 		}
 	}
-	return StopCmd{}, false
+	return nil, false
 }
 
-func (d *driver) takePoll() (PollCmd, bool) {
-	for i, c := range d.commands {
-		if found, ok := c.(PollCmd); ok {
-			d.removeCommand(i)
-			return found, true
+// send uses the permit of the order, and fails the order if there is none.
+func (d *driver) send(c Command) bool {
+	switch c := c.(type) {
+	case StartCmd:
+		if c.order.permit.use(d.now) {
+			return true
+		}
+		d.m.Handle(d.now, StartedMsg{order: c.order, err: errWithdrawn})
+	case StopCmd:
+		if c.order.permit.use(d.now) {
+			return true
 		}
+		d.m.Handle(d.now, StoppedMsg{order: c.order, err: errWithdrawn})
+	case PollCmd:
+		if c.order.permit.use(d.now) {
+			return true
+		}
+		d.m.Handle(d.now, PolledMsg{order: c.order, sentAt: d.now, err: errWithdrawn})
 	}
-	return PollCmd{}, false
+	return false
 }
 
 func (d *driver) takeCommit() (CommitCmd, bool) {
@@ -180,9 +212,12 @@
 func jobID(number int) order.JobID { return order.JobID(fmt.Sprintf("%016x", number+1)) }
 
 // call sends a client's call about testJob.
-func (d *driver) call(verb order.JobVerb, steps ...order.JobStep) {
-	d.feed(NewCallMsg("client", order.JobCallMsg{}.WithCall(7).WithVerb(verb).WithHost(testHost).
-		WithPath("/proofs/"+testJob).WithKey(testKey).WithSpec(order.JobSpec{}.WithPayload("p").WithSteps(steps))))
+func (d *driver) call(verb order.JobVerb, steps ...order.JobStep) { d.feed(jobCall(verb, steps...)) }
+
+// jobCall returns a client's call about testJob.
+func jobCall(verb order.JobVerb, steps ...order.JobStep) CallMsg {
+	return NewCallMsg("client", order.JobCallMsg{}.WithCall(7).WithVerb(verb).WithHost(testHost).
+		WithPath("/proofs/"+testJob).WithKey(testKey).WithSpec(order.JobSpec{}.WithPayload("p").WithSteps(steps)))
 }
 
 // takeReply removes and returns the next reply to a client.
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -123,7 +123,8 @@
 	// ended before this process became the owner, the task is nil, and the size
 	// is unknown if the journal no longer has the job. orderedAt is when the
 	// last order was sent or the start confirmed, and progressAt when percent
-	// last changed.
+	// last changed. startPermit is nil for an adopted run, and stopPermit unless
+	// a stop is queued or in flight.
 	attempt struct {
 		ref             TaskRef
 		run             int
@@ -136,6 +137,8 @@
 		startedAt       time.Time
 		orderedAt       time.Time
 		stopConfirmedAt time.Time
+		startPermit     *permit
+		stopPermit      *permit
 		percent         int
 		progressAt      time.Time
 	}
--- a/scheduler/orders.go
+++ b/scheduler/orders.go
@@ -47,14 +47,16 @@
 		epoch      order.Epoch
 		checkpoint string
 		ticket     string
+		permit     *permit
 	}
 
 	// StopOrder stops a run of a task.
 	StopOrder struct {
-		to    WorkerAddress
-		task  TaskRef
-		run   int
-		epoch order.Epoch
+		to     WorkerAddress
+		task   TaskRef
+		run    int
+		epoch  order.Epoch
+		permit *permit
 	}
 
 	// PollOrder is a long poll: it renews the lease of all runs of the worker,
@@ -65,6 +67,7 @@
 		acked    int64
 		leaseEnd int64
 		wait     time.Duration
+		permit   *permit
 
 		// first marks the first poll of a worker in the epoch.
 		first bool
--- a/scheduler/runner.go
+++ b/scheduler/runner.go
@@ -215,22 +215,29 @@
 func (r *Runner) sendOrder(ctx context.Context, cmd Command) {
 	switch cmd := cmd.(type) {
 	case StartCmd:
-		clock, err := sendWithRetry(ctx, func(ctx context.Context) (int64, error) { return r.workers.Start(ctx, cmd.order) })
+		clock, err := r.sendWithRetry(ctx, cmd.order.permit, func(ctx context.Context) (int64, error) { return r.workers.Start(ctx, cmd.order) })
 		r.deliver(ctx, StartedMsg{order: cmd.order, clock: clock, err: err})
 	case StopCmd:
-		clock, err := sendWithRetry(ctx, func(ctx context.Context) (int64, error) { return r.workers.Stop(ctx, cmd.order) })
+		clock, err := r.sendWithRetry(ctx, cmd.order.permit, func(ctx context.Context) (int64, error) { return r.workers.Stop(ctx, cmd.order) })
 		r.deliver(ctx, StoppedMsg{order: cmd.order, clock: clock, err: err})
 	}
 }
 
 // sendWithRetry sends an order until it gets a response, at most maxOrderTries
-// times. That is safe because a worker executes the start or stop of a run
-// once, however often it gets the order. If an attempt had no response, a later
-// refusal proves nothing, since the worker may still execute the first one. The
-// result then is the error of that first attempt.
-func sendWithRetry(ctx context.Context, send func(context.Context) (int64, error)) (int64, error) {
+// times and only while the permit holds. That is safe because a worker executes
+// the start or stop of a run once, however often it gets the order. If an
+// attempt had no response, a later refusal proves nothing, since the worker may
+// still execute the first one. The result then is the error of that first
+// attempt.
+func (r *Runner) sendWithRetry(ctx context.Context, p *permit, send func(context.Context) (int64, error)) (int64, error) {
 	var unconfirmed error
 	for try := 1; ; try++ {
+		if ctx.Err() != nil || !p.use(r.clock.Now()) {
+			if unconfirmed != nil {
+				return 0, unconfirmed
+			}
+			return 0, errWithdrawn
+		}
 		timeout := earlyOrderTimeout
 		if try == maxOrderTries {
 			timeout = orderTimeout
@@ -246,7 +253,7 @@
 			}
 			unconfirmed = err
 		}
-		if try == maxOrderTries || ctx.Err() != nil {
+		if try == maxOrderTries {
 			return clock, unconfirmed
 		}
 	}
@@ -261,9 +268,13 @@
 
 // pollWorker polls a worker and delivers its report.
 func (r *Runner) pollWorker(ctx context.Context, o PollOrder) {
+	sentAt := r.clock.Now()
+	if !o.permit.use(sentAt) {
+		r.deliver(ctx, PolledMsg{order: o, sentAt: sentAt, err: errWithdrawn})
+		return
+	}
 	limited, cancel := context.WithTimeout(ctx, o.wait+orderTimeout)
 	defer cancel()
-	sentAt := r.clock.Now()
 	report, err := r.workers.Poll(limited, o)
 	r.deliver(ctx, PolledMsg{order: o, sentAt: sentAt, report: report, err: err})
 }
--- a/scheduler/runner_test.go
+++ b/scheduler/runner_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -11,6 +12,8 @@
 	"github.com/rs/zerolog"
 
 	"chervilhollow/gauge"
+	"chervilhollow/order"
+	"chervilhollow/policy"
 	"chervilhollow/storage"
 	"chervilhollow/timers"
 )
@@ -71,6 +74,9 @@
 	return 7, w.later
 }
 
+// newTestRunner returns a runner that only sends orders.
+func newTestRunner() *Runner { return NewRunner(nil, timers.New(), nil, nil, nil, zerolog.Nop()) }
+
 // When the response to a start is lost or late, the order must be sent again
 // soon, not after a second. The worker then responds, and starts the run if the
 // first order did not arrive.
@@ -78,7 +84,7 @@
 	is := is.New(t)
 	w := &unresponsiveWorker{unanswered: 1}
 	began := time.Now()
-	clock, err := sendWithRetry(context.Background(), w.send)
+	clock, err := newTestRunner().sendWithRetry(context.Background(), &permit{}, w.send)
 	is.NoErr(err)
 	is.Equal(clock, int64(7))
 	is.True(time.Since(began) < 250*time.Millisecond+earlyOrderTimeout) // the tightest objective leaves 250 ms
@@ -90,12 +96,142 @@
 	is := is.New(t)
 	for _, later := range []error{NewRefusedError(RefusedNoCapacity, 0), ErrNotSent} {
 		w := &unresponsiveWorker{unanswered: 1, later: later}
-		_, err := sendWithRetry(context.Background(), w.send)
+		_, err := newTestRunner().sendWithRetry(context.Background(), &permit{}, w.send)
 		is.True(errors.Is(err, context.DeadlineExceeded))
 	}
 	w := &unresponsiveWorker{later: NewRefusedError(RefusedNoCapacity, 0)}
-	_, err := sendWithRetry(context.Background(), w.send)
+	_, err := newTestRunner().sendWithRetry(context.Background(), &permit{}, w.send)
 	var refused *RefusedError
 	is.True(errors.As(err, &refused))
 	is.Equal(w.calls, 1)
 }
+
+// unansweredStarts is a worker that answers polls and stops, but no start. It
+// records the starts.
+type unansweredStarts struct {
+	mu          sync.Mutex
+	incarnation int64
+	starts      []StartOrder
+}
+
+func (w *unansweredStarts) Start(ctx context.Context, o StartOrder) (int64, error) {
+	w.mu.Lock()
+	w.starts = append(w.starts, o)
+	w.mu.Unlock()
+	<-ctx.Done()
+	return 0, ctx.Err()
+}
+
+func (w *unansweredStarts) Stop(context.Context, StopOrder) (int64, error) { return 1, nil }
+
+func (w *unansweredStarts) Poll(ctx context.Context, _ PollOrder) (Report, error) {
+	select {
+	case <-time.After(pollDelay):
+	case <-ctx.Done():
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return NewReport(time.Now().UnixMilli(), w.incarnation, nil, nil), ctx.Err()
+}
+
+func (w *unansweredStarts) Disconnect() {}
+
+// setIncarnation makes later polls report the incarnation.
+func (w *unansweredStarts) setIncarnation(incarnation int64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.incarnation = incarnation
+}
+
+// count returns how many starts for the incarnation the worker has got.
+func (w *unansweredStarts) count(incarnation int64) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	n := 0
+	for _, o := range w.starts {
+		if o.to.incarnation == incarnation {
+			n++
+		}
+	}
+	return n
+}
+
+// replies is a sender that passes on the replies to clients.
+type replies chan order.JobReplyMsg
+
+func (r replies) Send(_ order.MemberID, m order.Msg) error {
+	if reply, ok := m.(order.JobReplyMsg); ok {
+		r <- reply
+	}
+	return nil
+}
+
+// runCell runs a cell with one worker until the test ends, and submits a job of
+// many tasks, whose starts the worker does not answer.
+func runCell(t *testing.T, workers *unansweredStarts) (*Runner, replies) {
+	t.Helper()
+	is := is.New(t)
+	store := storage.NewMemory(timers.New())
+	record, err := store.Swap(context.Background(), "cell/owner", 0, []byte("me"), 0)
+	is.NoErr(err)
+	m := New(testMember, testEpoch, storage.NewEntry("cell/owner", nil, record), NewLimits(10*time.Second, time.Minute),
+		time.Now(), gauge.New(zerolog.Nop()), zerolog.Nop())
+	answers := make(replies, 16)
+	r := NewRunner(m, timers.New(), store, workers, answers, zerolog.Nop())
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- r.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		is.NoErr(<-ended)
+	})
+	is.NoErr(r.Enqueue(NewConfigMsg(testConfig(policy.Advice{}, order.Resources{}), nil)))
+	is.NoErr(r.Enqueue(NewWorkersMsg([]WorkerInfo{workerInfo("w1", 1)}, nil, false)))
+	is.NoErr(r.Enqueue(jobCall(order.SubmitJob, smallStep(60).WithSize(order.NewResources(100, 1<<20, 0)))))
+	is.Equal((<-answers).Code(), order.Done)
+	for deadline := time.Now().Add(5 * time.Second); workers.count(1) < maxOrdersPerWorker; time.Sleep(time.Millisecond) {
+		is.True(time.Now().Before(deadline)) // the first starts are sent
+	}
+	return r, answers
+}
+
+// The other starts wait behind the unanswered ones.
+func TestSendsNoQueuedStartOfCancelledJob(t *testing.T) {
+	is := is.New(t)
+	w := &unansweredStarts{incarnation: 1}
+	r, answers := runCell(t, w)
+	is.NoErr(r.Enqueue(jobCall(order.CancelJob)))
+	is.Equal((<-answers).Code(), order.Done)
+	sent := w.count(1)
+	time.Sleep(4 * earlyOrderTimeout)
+	is.Equal(w.count(1), sent)
+}
+
+// It would execute them while the tasks run elsewhere.
+func TestSendsNoQueuedStartToNextIncarnation(t *testing.T) {
+	is := is.New(t)
+	w := &unansweredStarts{incarnation: 1}
+	r, _ := runCell(t, w)
+	w.setIncarnation(2)
+	is.NoErr(r.Enqueue(NewWorkersMsg([]WorkerInfo{workerInfo("w1", 2)}, nil, false)))
+	time.Sleep(earlyOrderTimeout / 2)
+	sent := w.count(1)
+	time.Sleep(4 * earlyOrderTimeout)
+	is.Equal(w.count(1), sent)
+}
+
+// A withdrawn order counts as not sent only if no attempt was made.
+func TestNoRetryOfWithdrawnOrder(t *testing.T) {
+	is := is.New(t)
+	w := &unresponsiveWorker{unanswered: 1}
+	p := &permit{}
+	_, err := newTestRunner().sendWithRetry(context.Background(), p, func(ctx context.Context) (int64, error) {
+		is.True(!p.withdraw())
+		return w.send(ctx)
+	})
+	is.True(errors.Is(err, context.DeadlineExceeded))
+	is.Equal(w.calls, 1)
+	_, err = newTestRunner().sendWithRetry(context.Background(), p, w.send)
+	is.True(errors.Is(err, ErrNotSent))
+	is.Equal(w.calls, 1)
+}
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -42,9 +42,10 @@
 		unlistedAt   time.Time
 		connRefused  bool
 
-		// polling reports whether a poll is open. missedCalls counts the failed
-		// calls since the last report.
+		// polling reports whether a poll is open, and pollPermit is that of the
+		// last one. missedCalls counts the failed calls since the last report.
 		polling     bool
+		pollPermit  *permit
 		nextPollAt  time.Time
 		missedCalls int
 
@@ -201,6 +202,7 @@
 func (m *Scheduler) resetWorker(now time.Time, w *worker) {
 	m.log.Info().Str("worker", string(w.id)).Int("runs", len(w.attempts)).Msg("yard: worker restarted")
 	m.dropAttempts(now, w, "worker started anew")
+	w.pollPermit.withdraw()
 	w.unackedEnds, w.lastEnded, w.acked = nil, 0, 0
 	w.clockReadAt, w.contacted, w.failures = time.Time{}, false, 0
 	w.missedCalls, w.unresponsive, w.cooldownUntil = 0, false, time.Time{}
@@ -232,7 +234,7 @@
 		if first {
 			m.firstContacts++
 		}
-		o := PollOrder{to: w.address(), epoch: m.epoch, acked: w.acked, first: first}
+		o := PollOrder{to: w.address(), epoch: m.epoch, acked: w.acked, first: first, permit: &permit{}}
 		// A worker that does not respond gets no longer lease, so that its runs
 		// have certainly ended at some time.
 		if w.contacted && w.missedCalls == 0 {
@@ -240,8 +242,9 @@
 			if len(w.attempts) == 0 {
 				o.wait = idlePollWait
 			}
-			o.leaseEnd = m.grantLease(now, w)
+			o.leaseEnd, o.permit = m.grantLease(now, w), m.leasePermit(now)
 		}
+		w.pollPermit = o.permit
 		m.emit(PollCmd{order: o})
 	}
 }
@@ -303,7 +306,7 @@
 		return
 	}
 	w.polling = false
-	if in.order.to.incarnation != w.info.incarnation {
+	if in.order.to.incarnation != w.info.incarnation || errors.Is(in.err, errWithdrawn) {
 		return
 	}
 	if in.err != nil {
