Keep a run that the next incarnation of its worker may have started

A start that was in flight, retried or confirmed around the restart may have reached the next incarnation. The owner then read the new "born" in the discovery, dropped all runs and started the tasks again at once, on workers that are up, beside those on the next incarnation.

Cause: resetWorker took each run for one of the former incarnation. Only a report proves that, since only reports carry the incarnation.

Runs that the former incarnation reported are dropped at once as before, as are those whose start was not sent. The others stay unconfirmed on the present one: if its report lists them they go on, else they are stopped there, and their tasks start again once the stop is confirmed and a later report lacks them. If the present incarnation is not reached, they are given up after the longest lease allowed: a deadline on the former clock is shortened to no less.

Tests that failed before: TestNoSecondStartWhenNextIncarnationRunsTask permit_test.go:169: not true: !ok TestRestartsOnceNextIncarnationRejectsRun permit_test.go:187: not true: !ok TestWaitsForLongestLeaseOfNextIncarnation permit_test.go:249: not true: !ok TestRestartsReportedRunOfFormerIncarnationAtOnce and TestStopsUnreportedRunOnNextIncarnation passed before and guard the rest.

--- a/scheduler/attempt.go
+++ b/scheduler/attempt.go
@@ -184,6 +184,9 @@
 	return w.attempts[attemptKey{ref, run}]
 }
 
+// reported reports whether a report of the worker has listed the run.
+func (a *attempt) reported() bool { return !a.progressAt.IsZero() }
+
 // handleStarted handles the result of a start order.
 func (m *Scheduler) handleStarted(now time.Time, in StartedMsg) {
 	a := m.findAttempt(in.order.to, in.order.task, in.order.run)
--- a/scheduler/permit_test.go
+++ b/scheduler/permit_test.go
@@ -118,3 +118,145 @@
 		is.True(!p.use(testStart))
 	}
 }
+
+// restart lists the second incarnation of a worker and answers its first poll.
+func (d *driver) restart(id order.WorkerID, running []RunningTask) {
+	d.t.Helper()
+	d.feed(NewWorkersMsg([]WorkerInfo{workerInfo(id, 2)}, nil, false))
+	d.answerNextIncarnation(id, running)
+}
+
+// answerNextIncarnation answers the open poll of the second incarnation of a
+// worker, after it has failed the open one of the first.
+func (d *driver) answerNextIncarnation(id order.WorkerID, running []RunningTask) {
+	d.t.Helper()
+	for range 3 {
+		d.advance(2 * pollDelay)
+		for i, c := range d.commands {
+			poll, ok := c.(PollCmd)
+			if !ok || poll.order.to.worker != id {
+				continue
+			}
+			d.removeCommand(i)
+			if poll.order.to.incarnation == 2 {
+				d.feed(PolledMsg{order: poll.order, sentAt: d.now, report: NewReport(1+d.now.Sub(testStart).Milliseconds(), 2, running, nil)})
+				return
+			}
+			d.feed(PolledMsg{order: poll.order, sentAt: d.now, err: errDiverged})
+			break
+		}
+	}
+	d.t.Fatalf("no open poll of the second incarnation of %s", id)
+}
+
+// A worker checks only the ID, so either incarnation may have answered.
+func TestNoSecondStartWhenNextIncarnationRunsTask(t *testing.T) {
+	for _, answered := range []bool{true, false} {
+		d := newDriver(t, testEpoch)
+		d.configure(policy.Advice{}, order.Resources{})
+		d.addWorkers("w1")
+		d.call(order.SubmitJob, smallStep(1))
+		d.commitAll()
+		s, ok := d.takeStart()
+		d.is.True(ok)
+		if answered {
+			d.answerStart(s, nil)
+		}
+		d.addWorkers("w2")
+		d.restart("w1", []RunningTask{NewRunningTask(s.order.task, s.order.run, "", 10)})
+		d.advance(time.Second)
+		_, ok = d.takeStart()
+		d.is.True(!ok)
+		_, ok = d.takeStop()
+		d.is.True(!ok)
+	}
+}
+
+// The start may still arrive, so the new incarnation has to confirm a stop.
+func TestRestartsOnceNextIncarnationRejectsRun(t *testing.T) {
+	d := newDriver(t, testEpoch)
+	d.configure(policy.Advice{}, order.Resources{})
+	d.addWorkers("w1")
+	d.call(order.SubmitJob, smallStep(1))
+	d.commitAll()
+	s, _ := d.takeStart()
+	d.answerStart(s, nil)
+	d.addWorkers("w2")
+	d.restart("w1", nil)
+	_, ok := d.takeStart()
+	d.is.True(!ok)
+	stop, ok := d.takeStop()
+	d.is.True(ok)
+	d.is.Equal(stop.order.to.incarnation, int64(2))
+	d.feed(StoppedMsg{order: stop.order})
+	d.answerNextIncarnation("w1", nil)
+	d.advance(100 * time.Millisecond)
+	again, ok := d.takeStart()
+	d.is.True(ok)
+	d.is.Equal(again.order.run, 2)
+}
+
+// Only runs that the former incarnation never reported may be on the next one.
+func TestRestartsReportedRunOfFormerIncarnationAtOnce(t *testing.T) {
+	d := newDriver(t, testEpoch)
+	d.configure(policy.Advice{}, order.Resources{})
+	d.addWorkers("w1")
+	d.call(order.SubmitJob, smallStep(1))
+	d.commitAll()
+	s, _ := d.takeStart()
+	d.answerStart(s, nil)
+	d.advance(2 * pollDelay)
+	d.answerPoll("w1", []RunningTask{NewRunningTask(s.order.task, s.order.run, "", 10)}, nil)
+	d.addWorkers("w2")
+	d.feed(NewWorkersMsg([]WorkerInfo{workerInfo("w1", 2)}, nil, false))
+	again, ok := d.takeStart()
+	d.is.True(ok)
+	d.is.Equal(again.order.to.worker, order.WorkerID("w2"))
+}
+
+// A cancelled job's run on the next incarnation must be stopped there.
+func TestStopsUnreportedRunOnNextIncarnation(t *testing.T) {
+	d := newDriver(t, testEpoch)
+	d.configure(policy.Advice{}, order.Resources{})
+	d.addWorkers("w1")
+	d.call(order.SubmitJob, smallStep(1))
+	d.commitAll()
+	s, _ := d.takeStart()
+	d.call(order.CancelJob)
+	stop, ok := d.takeStop()
+	d.is.True(ok)
+	d.feed(StoppedMsg{order: stop.order})
+	d.restart("w1", []RunningTask{NewRunningTask(s.order.task, s.order.run, "", 10)})
+	stop, ok = d.takeStop()
+	d.is.True(ok)
+	d.is.Equal(stop.order.to.incarnation, int64(2))
+}
+
+// A lease on the clock of the former incarnation is bounded only by maxLease.
+func TestWaitsForLongestLeaseOfNextIncarnation(t *testing.T) {
+	d := newDriver(t, testEpoch)
+	d.configure(policy.Advice{}, order.Resources{})
+	d.addWorkers("w1")
+	d.call(order.SubmitJob, smallStep(1))
+	d.commitAll()
+	s, _ := d.takeStart()
+	d.answerStart(s, nil)
+	d.addWorkers("w2")
+	d.feed(NewWorkersMsg([]WorkerInfo{workerInfo("w1", 2)}, nil, false))
+	restarted := d.now
+	for d.now.Sub(restarted) < maxLeaseTime(d.m.limits.maxLease) {
+		_, ok := d.takeStart()
+		d.is.True(!ok)
+		for p, ok := d.takePoll(); ok; p, ok = d.takePoll() {
+			if p.order.to.worker == "w1" {
+				d.feed(PolledMsg{order: p.order, sentAt: d.now, err: errDiverged})
+				continue
+			}
+			d.feed(PolledMsg{order: p.order, sentAt: d.now, report: NewReport(1000+d.now.Sub(testStart).Milliseconds(), 1, nil, nil)})
+		}
+		d.advance(100 * time.Millisecond)
+	}
+	d.advance(100 * time.Millisecond)
+	_, ok := d.takeStart()
+	d.is.True(ok)
+}
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -163,6 +163,7 @@
 		return
 	}
 	if w.info.incarnation != 0 && info.incarnation > w.info.incarnation {
+		w.info = info
 		m.resetWorker(now, w)
 	}
 	if info.draining && !w.draining {
@@ -199,15 +200,38 @@
 }
 
 // resetWorker drops the runs and the state of a worker's earlier incarnation.
+// Runs that may have started on the present one are kept.
 func (m *Scheduler) resetWorker(now time.Time, w *worker) {
 	m.log.Info().Str("worker", string(w.id)).Int("runs", len(w.attempts)).Msg("yard: worker restarted")
-	m.dropAttempts(now, w, "worker started anew")
 	w.pollPermit.withdraw()
+	for _, a := range w.attempts {
+		if a.reported() || a.startPermit.withdraw() {
+			m.release(a)
+			m.requeue(now, a, "worker started anew")
+			continue
+		}
+		m.keepUnreported(now, a)
+	}
 	w.unackedEnds, w.lastEnded, w.acked = nil, 0, 0
 	w.clockReadAt, w.contacted, w.failures = time.Time{}, false, 0
 	w.missedCalls, w.unresponsive, w.cooldownUntil = 0, false, time.Time{}
 }
 
+// keepUnreported keeps a run whose start was sent to an earlier incarnation of
+// the worker and that no report has listed. The present incarnation may have
+// got the start, as a worker checks only its ID. A lease that ends on the clock
+// of another incarnation may last for the longest time allowed.
+func (m *Scheduler) keepUnreported(now time.Time, a *attempt) {
+	a.worker.leaseEnd = timers.Later(a.worker.leaseEnd, now.Add(maxLeaseTime(m.limits.maxLease)))
+	a.stopPermit.withdraw()
+	a.stopConfirmedAt = time.Time{}
+	if a.state == attemptStopping {
+		m.sendStop(now, a)
+		return
+	}
+	a.state, a.orderedAt = attemptUnconfirmed, now
+}
+
 // dropAttempts ends all runs of the worker and makes their tasks wait again.
 func (m *Scheduler) dropAttempts(now time.Time, w *worker, reason string) {
 	for _, a := range w.attempts {
