Withdraw the unsent starts of a worker that a poll did not reach

Such starts are now withdrawn with the first failed poll, and their tasks go to other workers at once. A start that was sent keeps its task until the worker or its lease settles it.

Test that failed before: TestSendsNoStartToUnreachableWorker, "w1 != w2".

--- a/scheduler/permit_test.go
+++ b/scheduler/permit_test.go
@@ -260,3 +260,27 @@
 	_, ok := d.takeStart()
 	d.is.True(ok)
 }
+
+// Whether the same incarnation is there is unknown once a poll has failed.
+func TestSendsNoStartToUnreachableWorker(t *testing.T) {
+	d := newDriver(t, testEpoch)
+	d.configure(policy.Advice{}, order.Resources{})
+	d.addWorkers("w1")
+	d.call(order.SubmitJob, smallStep(2))
+	d.commitAll()
+	sent, ok := d.takeStart()
+	d.is.True(ok)
+	d.addWorkers("w2")
+	d.advance(2 * pollDelay)
+	for p, ok := d.takePoll(); ok; p, ok = d.takePoll() {
+		if p.order.to.worker == "w1" {
+			d.feed(PolledMsg{order: p.order, sentAt: d.now, err: errDiverged})
+		}
+	}
+	s, ok := d.takeStart()
+	d.is.True(ok)
+	d.is.Equal(s.order.to.worker, order.WorkerID("w2"))
+	d.is.True(s.order.task != sent.order.task)
+	_, ok = d.takeStart()
+	d.is.True(!ok) // the first start may have arrived
+}
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -357,8 +357,8 @@
 	w.nextPollAt = now.Add(pollDelay)
 }
 
-// handlePollError handles a failed poll. Only the first of several failures is
-// logged.
+// handlePollError handles a failed poll, after which the worker gets no starts
+// until its next report. Only the first of several failures is logged.
 func (m *Scheduler) handlePollError(now time.Time, w *worker, err error) {
 	w.missedCalls++
 	w.connRefused = errors.Is(err, ErrNotSent)
@@ -372,6 +372,12 @@
 		m.registry.Count("yard.workers.lost_contact")
 		m.log.Warn().Err(err).Str("worker", string(w.id)).Int("runs", len(w.attempts)).Msg("yard: worker not reached")
 	}
+	for _, a := range w.attempts {
+		if a.state == attemptSent && a.startPermit.withdraw() {
+			m.release(a)
+			m.requeue(now, a, "worker not reached")
+		}
+	}
 }
 
 // handleEnds handles the reported ends, except for those handled before.
