Count a job as waiting until a worker has begun a task of it

The only worker with a label answered starts with 503; ten jobs that need it had begun nothing, GET PREFIX said that none waits, and GET said "running".

Cause: a job counted as started when the start order was emitted. An order that is refused, not sent or not answered begins nothing that the owner knows of.

A job now counts as started once a worker confirms a start or reports a run or an end of it.

Test that failed before: TestCountsJobAsWaitingUntilStartConfirmed, "scheduler_test.go:815: 0 != 1". TestCountsJobAsStartedOnceConfirmed passed before and guards the other direction.

--- a/scheduler/attempt.go
+++ b/scheduler/attempt.go
@@ -41,7 +41,6 @@
 	m.allocate(a)
 	m.registry.Invariant(w.used.FitsIn(w.info.capacity), "room",
 		"allocation on worker %s exceeds its capacity", w.id)
-	j.started = true
 	o := StartOrder{
 		to: w.address(), task: a.ref, run: run, payload: j.spec.Payload(),
 		leaseEnd: m.grantLease(now, w), epoch: m.epoch, checkpoint: t.resumePoint(), permit: a.startPermit,
@@ -187,6 +186,13 @@
 // reported reports whether a report of the worker has listed the run.
 func (a *attempt) reported() bool { return !a.progressAt.IsZero() }
 
+// markStarted records that the worker has begun the run.
+func (a *attempt) markStarted() {
+	if a.task != nil {
+		a.task.step.job.started = true
+	}
+}
+
 // handleStarted handles the result of a start order.
 func (m *Scheduler) handleStarted(now time.Time, in StartedMsg) {
 	a := m.findAttempt(in.order.to, in.order.task, in.order.run)
@@ -197,6 +203,7 @@
 	var refused *RefusedError
 	switch {
 	case in.err == nil:
+		a.markStarted()
 		if a.state == attemptSent {
 			a.state = attemptRunning
 			a.orderedAt = now
@@ -325,6 +332,7 @@
 		return nil
 	}
 	t.run = max(t.run, e.run)
+	j.started = true
 	if e.checkpoint != "" && e.result != ResultDone && t.state != taskDone {
 		t.setCheckpoint(e.checkpoint)
 	}
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -22,7 +22,7 @@
 		steps    []*step
 		ended    time.Time
 
-		// started reports whether any task was ever started.
+		// started reports whether a worker is known to have begun any task.
 		started bool
 
 		// excess reports whether the team had exceeded its share when it
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -749,3 +749,59 @@
 		n++
 	}
 }
+
+// A refused or unanswered start has begun nothing, so the job still waits.
+func TestCountsJobAsWaitingUntilStartConfirmed(t *testing.T) {
+	d := newDriver(t, testEpoch)
+	d.configure(policy.Advice{}, order.Resources{})
+	d.addWorkers("w1")
+	d.call(order.SubmitJob, smallStep(1))
+	d.commitAll()
+	s, ok := d.takeStart()
+	d.is.True(ok)
+	d.expectWaiting(1, order.JobPending)
+	d.answerStart(s, NewRefusedError(RefusedBusy, 0))
+	d.expectWaiting(1, order.JobPending)
+	d.advance(minCooldown + 100*time.Millisecond)
+	s, ok = d.takeStart()
+	d.is.True(ok)
+	d.answerStart(s, errDiverged)
+	d.expectWaiting(1, order.JobPending)
+	d.answerPoll("w1", []RunningTask{NewRunningTask(s.order.task, s.order.run, "", 10)}, nil)
+	d.expectWaiting(0, order.JobRunning)
+}
+
+// A confirmed start counts at once, and a run that ended before any report.
+func TestCountsJobAsStartedOnceConfirmed(t *testing.T) {
+	for _, confirmed := range []bool{true, false} {
+		d := newDriver(t, testEpoch)
+		d.configure(policy.Advice{}, order.Resources{})
+		d.addWorkers("w1")
+		d.call(order.SubmitJob, smallStep(2))
+		d.commitAll()
+		s, _ := d.takeStart()
+		if confirmed {
+			d.answerStart(s, nil)
+		} else {
+			d.advance(2 * pollDelay)
+			d.answerPoll("w1", nil, []EndedTask{NewEndedTask(1, s.order.task, s.order.run, ResultDone, "")})
+		}
+		d.expectWaiting(0, order.JobRunning)
+	}
+}
+
+// expectWaiting checks how many jobs are said to wait, and the state of testJob.
+func (d *driver) expectWaiting(count int, state order.JobState) {
+	d.t.Helper()
+	for _, ok := d.takeReply(); ok; _, ok = d.takeReply() {
+	}
+	d.feed(NewCallMsg("client", order.JobCallMsg{}.WithCall(8).WithVerb(order.CountWaiting).WithHost(testHost).
+		WithPath("/proofs/").WithKey(testKey)))
+	r, ok := d.takeReply()
+	d.is.True(ok)
+	d.is.Equal(r.Waiting(), count)
+	d.call(order.JobStatus)
+	r, ok = d.takeReply()
+	d.is.True(ok)
+	d.is.Equal(r.State(), state)
+}
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -419,6 +419,7 @@
 // recordProgress records the reported progress of a run. It repeats a stop
 // without effect, and moves a stalled run.
 func (m *Scheduler) recordProgress(now time.Time, a *attempt, r RunningTask) {
+	a.markStarted()
 	if a.state == attemptSent || a.state == attemptUnconfirmed {
 		a.state = attemptRunning
 	}
