Count stored progress of a job as started after a takeover

Cause: whether a job has started is not stored, and was set only for runs that a worker still reports. Stored progress (tasks done, failed runs or checkpoints) proves it.

Test that failed before: TestCountsProgressOfEarlierOwnerAsStarted, "1 != 0".

--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -332,6 +332,7 @@
 	j := newJob(r.ID(), r.Queue(), r.Team(), r.Spec(), r.Accepted(), r.Epoch())
 	j.state, j.storedState, j.ended = r.State(), r.State(), r.Ended()
 	j.version, j.persisted, j.excess = version, true, r.Excess()
+	j.started = len(r.Steps()) > 0
 	for _, sr := range r.Steps() {
 		s := j.step(sr.Occurrence(), sr.Step())
 		if s == nil {
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -790,6 +790,19 @@
 	}
 }
 
+// A new owner must not count a job as waiting whose first step has ended.
+func TestCountsProgressOfEarlierOwnerAsStarted(t *testing.T) {
+	d := newDriver(t, testEpoch+1)
+	d.configure(policy.Advice{}, order.Resources{})
+	spec := order.JobSpec{}.WithSteps([]order.JobStep{smallStep(1), smallStep(1).WithAfter([]int{0})})
+	record := order.JobRecord{}.WithID(testJob).WithQueue(testQueue).WithTeam(testTeam).WithSpec(spec).WithEpoch(testEpoch).
+		WithSteps([]order.StepRecord{order.StepRecord{}.WithDone([]int{0})})
+	value, err := record.MarshalCBOR()
+	d.is.NoErr(err)
+	d.is.NoErr(d.m.Restore(entries(jobKey(testJob), value)))
+	d.expectWaiting(0, order.JobRunning)
+}
+
 // expectWaiting checks how many jobs are said to wait, and the state of testJob.
 func (d *driver) expectWaiting(count int, state order.JobState) {
 	d.t.Helper()
