Test the permits of retries, polls, ended cells and full queues

Mutations of the code that no test noticed are noticed now: release without withdrawing the start, a stop that the full queue refused and that was not repeated, a poll whose lease had passed counted as a failed call, a poll sent although withdrawn, an order sent after the cell had ended, and a stop of the former incarnation taken for one of the next.

--- a/scheduler/permit_test.go
+++ b/scheduler/permit_test.go
@@ -57,7 +57,7 @@
 	d.addWorkers("w1")
 	d.call(order.SubmitJob, smallStep(1))
 	d.commitAll()
-	d.advance(leaseDuration)
+	d.advance(leaseDuration - leaseMargin)
 	_, ok := d.takeStart()
 	d.is.True(!ok)
 	d.advance(100 * time.Millisecond)
@@ -214,8 +214,35 @@
 	d.is.Equal(again.order.to.worker, order.WorkerID("w2"))
 }
 
-// A cancelled job's run on the next incarnation must be stopped there.
+// The stop may be queued for the former incarnation or confirmed by it.
 func TestStopsUnreportedRunOnNextIncarnation(t *testing.T) {
+	for _, confirmed := range []bool{false, true} {
+		d := newDriver(t, testEpoch)
+		d.configure(policy.Advice{}, order.Resources{})
+		d.addWorkers("w1")
+		d.call(order.SubmitJob, smallStep(1))
+		d.commitAll()
+		_, ok := d.takeStart()
+		d.is.True(ok)
+		d.call(order.CancelJob)
+		if confirmed {
+			stop, ok := d.takeStop()
+			d.is.True(ok)
+			d.feed(StoppedMsg{order: stop.order})
+		}
+		d.restart("w1", nil)
+		d.is.Equal(len(d.m.workers["w1"].attempts), 1)
+		stop, ok := d.takeStop()
+		d.is.True(ok)
+		d.is.Equal(stop.order.to.incarnation, int64(2))
+		d.feed(StoppedMsg{order: stop.order})
+		d.answerNextIncarnation("w1", nil)
+		d.is.Equal(len(d.m.workers["w1"].attempts), 0)
+	}
+}
+
+// The job was cancelled before the restart.
+func TestStopsCancelledRunListedByNextIncarnation(t *testing.T) {
 	d := newDriver(t, testEpoch)
 	d.configure(policy.Advice{}, order.Resources{})
 	d.addWorkers("w1")
@@ -284,3 +311,54 @@
 	_, ok = d.takeStart()
 	d.is.True(!ok) // the first start may have arrived
 }
+
+// A start without a response is sent again only while its run is wanted.
+func TestNoRetryOfStartOfEndedRun(t *testing.T) {
+	d := newDriver(t, testEpoch)
+	d.configure(policy.Advice{}, order.Resources{})
+	d.addWorkers("w1")
+	d.call(order.SubmitJob, smallStep(1))
+	d.commitAll()
+	s, _ := d.takeStart()
+	d.advance(2 * pollDelay)
+	d.is.True(s.order.permit.use(d.now))
+	d.answerPoll("w1", nil, []EndedTask{NewEndedTask(1, s.order.task, s.order.run, ResultDone, "")})
+	d.is.True(!s.order.permit.use(d.now))
+}
+
+// The queue of the worker was full when the first stop was due.
+func TestRepeatsStopThatWasNotQueued(t *testing.T) {
+	d := newDriver(t, testEpoch)
+	d.configure(policy.Advice{}, order.Resources{})
+	d.addWorkers("w1")
+	d.call(order.SubmitJob, smallStep(1))
+	d.commitAll()
+	s, _ := d.takeStart()
+	d.answerStart(s, nil)
+	d.call(order.CancelJob)
+	for i, c := range d.commands {
+		if stop, ok := c.(StopCmd); ok {
+			d.removeCommand(i)
+			d.feed(StoppedMsg{order: stop.order, err: ErrNotSent})
+			break
+		}
+	}
+	d.advance(stopRetryInterval + pollDelay)
+	d.answerPoll("w1", []RunningTask{NewRunningTask(s.order.task, s.order.run, "", 10)}, nil)
+	_, ok := d.takeStop()
+	d.is.True(ok)
+}
+
+// The process may have been suspended between the decision and the call.
+func TestSendsNoPollAfterItsLease(t *testing.T) {
+	d := newDriver(t, testEpoch)
+	d.configure(policy.Advice{}, order.Resources{})
+	d.addWorkers("w1")
+	d.advance(2*pollDelay + leaseDuration - leaseMargin)
+	_, ok := d.takePoll()
+	d.is.True(!ok)
+	d.is.Equal(d.m.workers["w1"].missedCalls, 0)
+	d.decide()
+	_, ok = d.takePoll()
+	d.is.True(ok)
+}
--- a/scheduler/runner_test.go
+++ b/scheduler/runner_test.go
@@ -235,3 +235,20 @@
 	is.True(errors.Is(err, ErrNotSent))
 	is.Equal(w.calls, 1)
 }
+
+// Neither a withdrawn poll nor an order of a cell that has ended may be sent.
+func TestSendsNothingWithoutPermit(t *testing.T) {
+	is := is.New(t)
+	r := newTestRunner()
+	o := PollOrder{permit: &permit{}}
+	o.permit.withdraw()
+	r.pollWorker(context.Background(), o)
+	in := <-r.inbox
+	is.True(errors.Is(in.(PolledMsg).err, errWithdrawn))
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	w := &unresponsiveWorker{}
+	_, err := r.sendWithRetry(ended, &permit{}, w.send)
+	is.True(errors.Is(err, ErrNotSent))
+	is.Equal(w.calls, 0)
+}
