Withdraw unsent starts when their worker is excluded

Seen by callers (rules DRAIN and EVAC, by reading): a worker that drains, that the discovery no longer lists, or whose domain is withdrawn gets no new tasks, but starts that were queued for it before still went out, up to 5.8 s later (drainMs is 2,000 and evacuateMs 5,000).

Cause: as for cancelled jobs, the decision behind a queued start was not looked at again. The permits of these starts are now withdrawn when the exclusion is learned, and their tasks go to other workers at once. Starts that were sent, and runs, are left alone.

Test that failed before: TestSendsNoStartToExcludedWorker, "permit_test.go:372: w1 != w2". It failed again with each of the three new calls taken out alone.

--- a/scheduler/permit_test.go
+++ b/scheduler/permit_test.go
@@ -362,3 +362,33 @@
 	_, ok = d.takePoll()
 	d.is.True(ok)
 }
+
+// A queued start goes elsewhere when its worker may get no starts any more.
+func TestSendsNoStartToExcludedWorker(t *testing.T) {
+	for _, in := range []Msg{
+		NewWorkersMsg([]WorkerInfo{workerInfo("w1", 1).WithIncarnation(1, true)}, nil, false),
+		NewWorkersMsg(nil, []order.WorkerID{"w1"}, false),
+		NewConfigMsg(nil, []order.DomainName{"quay"}),
+	} {
+		d := newDriver(t, testEpoch)
+		d.configure(policy.Advice{}, order.Resources{})
+		d.addWorkers("w1")
+		d.call(order.SubmitJob, smallStep(2))
+		d.commitAll()
+		sent, ok := d.takeStart()
+		d.is.True(ok)
+		d.answerStart(sent, nil)
+		other := workerInfo("w2", 1)
+		other.domain = "dune"
+		d.feed(NewWorkersMsg([]WorkerInfo{other}, nil, false))
+		d.commitAll()
+		d.answerPoll("w2", nil, nil)
+		d.feed(in)
+		d.advance(100 * time.Millisecond)
+		s, ok := d.takeStart()
+		d.is.True(ok)
+		d.is.Equal(s.order.to.worker, order.WorkerID("w2"))
+		_, ok = d.takeStop()
+		d.is.True(!ok) // the run that was sent goes on
+	}
+}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -267,7 +267,7 @@
 func (m *Scheduler) Handle(now time.Time, in Msg) {
 	switch in := in.(type) {
 	case ConfigMsg:
-		m.configure(in)
+		m.configure(now, in)
 	case WorkersMsg:
 		m.updateWorkers(now, in)
 	case CallMsg:
@@ -306,7 +306,7 @@
 func (m *Scheduler) emit(c Command) { m.commands = append(m.commands, c) }
 
 // configure applies a configuration; one with an older revision is dropped.
-func (m *Scheduler) configure(in ConfigMsg) {
+func (m *Scheduler) configure(now time.Time, in ConfigMsg) {
 	if in.config != nil && in.config.Revision() < m.config.Revision() {
 		m.registry.Count("yard.config.older")
 		in.config = nil
@@ -318,6 +318,11 @@
 	for _, d := range in.withdrawn {
 		m.withdrawn[d] = true
 	}
+	for _, w := range m.sortedWorkers() {
+		if m.withdrawn[w.info.domain] {
+			m.withdrawStarts(now, w, "domain withdrawn")
+		}
+	}
 	m.log.Info().Uint64("revision", uint64(m.config.Revision())).Interface("withdrawn", in.withdrawn).
 		Msg("yard: configuration in force")
 }
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -172,6 +172,9 @@
 	w.info, w.listed, w.draining = info, true, info.draining
 	w.rack = rackOf(info.labels)
 	w.updateFree()
+	if w.draining {
+		m.withdrawStarts(now, w, "worker drains")
+	}
 }
 
 // rackOf returns the label that names the rack, such as r1-2, or an empty
@@ -193,6 +196,7 @@
 		return
 	}
 	w.listed, w.unlistedAt = false, now
+	m.withdrawStarts(now, w, "worker no longer listed")
 	m.log.Info().Str("worker", string(id)).Int("runs", len(w.attempts)).Time("lease_end", w.leaseEnd).Msg("yard: worker no longer listed")
 	if len(w.attempts) == 0 && now.After(w.leaseEnd) {
 		m.removeWorker(w)
@@ -232,6 +236,17 @@
 	a.state, a.orderedAt = attemptUnconfirmed, now
 }
 
+// withdrawStarts withdraws the starts that are not sent yet to a worker that may
+// get none any more, and makes their tasks wait again.
+func (m *Scheduler) withdrawStarts(now time.Time, w *worker, reason string) {
+	for _, a := range w.attempts {
+		if a.state == attemptSent && a.startPermit.withdraw() {
+			m.release(a)
+			m.requeue(now, a, reason)
+		}
+	}
+}
+
 // dropAttempts ends all runs of the worker and makes their tasks wait again.
 func (m *Scheduler) dropAttempts(now time.Time, w *worker, reason string) {
 	for _, a := range w.attempts {
@@ -372,12 +387,7 @@
 		m.registry.Count("yard.workers.lost_contact")
 		m.log.Warn().Err(err).Str("worker", string(w.id)).Int("runs", len(w.attempts)).Msg("yard: worker not reached")
 	}
-	for _, a := range w.attempts {
-		if a.state == attemptSent && a.startPermit.withdraw() {
-			m.release(a)
-			m.requeue(now, a, "worker not reached")
-		}
-	}
+	m.withdrawStarts(now, w, "worker not reached")
 }
 
 // handleEnds handles the reported ends, except for those handled before.
