--- a/scheduler/permit_test.go
+++ b/scheduler/permit_test.go
@@ -392,3 +392,24 @@
 		d.is.True(!ok) // the run that was sent goes on
 	}
 }
+
+// A gang with a refused member starts anew as a whole.
+func TestWithdrawsUnsentStartsOfGang(t *testing.T) {
+	d := newDriver(t, testEpoch)
+	d.configure(policy.Advice{}, order.Resources{})
+	d.addWorkers("w1", "w2", "w3", "w4")
+	d.call(order.SubmitJob, smallStep(3).WithGang(true).WithPerWorker(1))
+	d.commitAll()
+	s, ok := d.takeStart()
+	d.is.True(ok)
+	d.answerStart(s, NewRefusedError(RefusedNoCapacity, 0))
+	_, ok = d.takeStop()
+	d.is.True(!ok)
+	for range 3 {
+		again, ok := d.takeStart()
+		d.is.True(ok)
+		d.is.Equal(again.order.run, 2)
+	}
+	_, ok = d.takeStart()
+	d.is.True(!ok)
+}
