--- a/scheduler/attempt.go
+++ b/scheduler/attempt.go
@@ -25,7 +25,7 @@
 	j := t.step.job
 	a := &attempt{
 		ref: t.ref(), run: run, task: t, worker: w, size: t.step.spec.Size(),
-		team: j.team, state: attemptSent, startedAt: now, orderedAt: now,
+		team: j.team, state: attemptSent, startedAt: now, orderedAt: now, startPermit: m.startPermit(now),
 	}
 	if t.run > 0 {
 		m.log.Info().Str("job", string(j.id)).Int("step", t.step.index).Int("task", t.index).Int("run", run).
@@ -36,10 +36,9 @@
 	m.allocate(a)
 	m.registry.Invariant(w.used.FitsIn(w.info.capacity), "room",
 		"allocation on worker %s exceeds its capacity", w.id)
-	j.started = true
 	o := StartOrder{
 		to: w.address(), task: a.ref, run: run, payload: j.spec.Payload(),
-		leaseEnd: m.grantLease(now, w), epoch: m.epoch, checkpoint: t.resumePoint(),
+		leaseEnd: m.grantLease(now, w), epoch: m.epoch, checkpoint: t.resumePoint(), permit: a.startPermit,
 	}
 	if tk, ok := t.step.tickets[w.id]; ok {
 		o.ticket = tk.text
@@ -75,12 +74,15 @@
 	}
 }
 
-// release frees the capacity of a run that has certainly ended.
+// release frees the capacity of a run that has certainly ended, and withdraws
+// its orders.
 func (m *Scheduler) release(a *attempt) {
 	key := attemptKey{a.ref, a.run}
 	if a.worker.attempts[key] != a {
 		return
 	}
+	a.startPermit.withdraw()
+	a.stopPermit.withdraw()
 	delete(a.worker.attempts, key)
 	a.worker.used = a.worker.used.Minus(a.size)
 	a.worker.updateFree()
@@ -97,16 +99,21 @@
 	if t == nil || t.attempt != a {
 		return
 	}
-	t.attempt = nil
-	if t.state == taskPlaced {
-		t.state = taskWaiting
-	}
+	t.unassign()
 	m.registry.Count("yard.retries." + counterName(reason))
 	m.log.Info().Str("job", string(a.ref.job)).Int("step", a.ref.step).Int("task", a.ref.index).Int("run", a.run).
 		Str("worker", string(a.worker.id)).Uint64("epoch", uint64(m.epoch)).Str("reason", reason).Msg("yard: run lost")
 	m.stopGang(now, t.step, a.run)
 }
 
+// unassign makes the task wait for its next run, unless it is done.
+func (t *task) unassign() {
+	t.attempt = nil
+	if t.state == taskPlaced {
+		t.state = taskWaiting
+	}
+}
+
 // counterName replaces the spaces of a reason by underscores.
 func counterName(reason string) string {
 	name := []byte(reason)
@@ -132,20 +139,33 @@
 }
 
 // stop orders the worker to end a run. The capacity stays allocated until the
-// run has ended.
+// run has ended. A start that is not sent yet is withdrawn instead.
 func (m *Scheduler) stop(now time.Time, a *attempt) {
 	if a.state == attemptStopping {
 		return
 	}
+	if a.state == attemptSent && a.startPermit.withdraw() {
+		m.registry.Count("yard.starts_withdrawn")
+		m.release(a)
+		if t := a.task; t != nil && t.attempt == a {
+			t.unassign()
+		}
+		return
+	}
 	a.state = attemptStopping
 	m.sendStop(now, a)
 }
 
-// sendStop emits the stop order, also for a repeated one.
+// sendStop emits the stop order, also for a repeated one. It does nothing while
+// the last one is still queued.
 func (m *Scheduler) sendStop(now time.Time, a *attempt) {
 	a.orderedAt = now
+	if a.stopPermit.unused() {
+		return
+	}
+	a.stopPermit = &permit{}
 	m.registry.Count("yard.stops")
-	m.emit(StopCmd{order: StopOrder{to: a.worker.address(), task: a.ref, run: a.run, epoch: m.epoch}})
+	m.emit(StopCmd{order: StopOrder{to: a.worker.address(), task: a.ref, run: a.run, epoch: m.epoch, permit: a.stopPermit}})
 }
 
 // findAttempt returns the run that an order refers to, or nil if it has ended
@@ -158,6 +178,16 @@
 	return w.attempts[attemptKey{ref, run}]
 }
 
+// reported reports whether a report of the worker has listed the run.
+func (a *attempt) reported() bool { return !a.progressAt.IsZero() }
+
+// markStarted records that the worker has begun the run.
+func (a *attempt) markStarted() {
+	if a.task != nil {
+		a.task.step.job.started = true
+	}
+}
+
 // handleStarted handles the result of a start order.
 func (m *Scheduler) handleStarted(now time.Time, in StartedMsg) {
 	m.checkEpoch(in.err)
@@ -169,12 +199,17 @@
 	var refused *RefusedError
 	switch {
 	case in.err == nil:
+		a.markStarted()
 		if a.state == attemptSent {
 			a.state = attemptRunning
 			a.orderedAt = now
 		}
 	case errors.As(in.err, &refused):
 		m.handleRefusal(now, a, refused)
+	case errors.Is(in.err, errWithdrawn):
+		m.registry.Count("yard.start_failed.withdrawn")
+		m.release(a)
+		m.requeue(now, a, "start withdrawn")
 	case errors.Is(in.err, ErrNotSent):
 		m.registry.Count("yard.start_failed.not_sent")
 		a.worker.missedCalls++
@@ -227,6 +262,9 @@
 	if a == nil {
 		return
 	}
+	if a.stopPermit == in.order.permit {
+		a.stopPermit = nil
+	}
 	a.worker.recordClock(now, in.clock)
 	if in.err == nil {
 		a.stopConfirmedAt = now
@@ -291,14 +329,12 @@
 		return nil
 	}
 	t.run = max(t.run, e.run)
+	j.started = true
 	if e.checkpoint != "" && e.result != ResultDone && t.state != taskDone {
 		t.setCheckpoint(e.checkpoint)
 	}
 	if t.attempt == a && a != nil {
-		t.attempt = nil
-		if t.state == taskPlaced {
-			t.state = taskWaiting
-		}
+		t.unassign()
 	}
 	if j.state.Ended() {
 		return j
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -26,7 +26,7 @@
 		// acceptedBy is the queue as defined when it accepted the job.
 		acceptedBy policy.Queue
 
-		// started reports whether any task was ever started.
+		// started reports whether a worker is known to have begun any task.
 		started bool
 
 		// excess reports whether the team had exceeded its share when it
@@ -132,7 +132,8 @@
 	// ended before this process became the owner, the task is nil, and the size
 	// is unknown if the journal no longer has the job. orderedAt is when the
 	// last order was sent or the start confirmed, and progressAt when percent
-	// last changed.
+	// last changed. startPermit is nil for an adopted run, and stopPermit unless
+	// a stop is queued or in flight.
 	attempt struct {
 		ref             TaskRef
 		run             int
@@ -145,6 +146,8 @@
 		startedAt       time.Time
 		orderedAt       time.Time
 		stopConfirmedAt time.Time
+		startPermit     *permit
+		stopPermit      *permit
 		percent         int
 		progressAt      time.Time
 	}
@@ -377,6 +380,7 @@
 	j.state, j.storedState, j.ended = r.State(), r.State(), r.Ended()
 	j.version, j.persisted, j.excess = version, true, r.Excess()
 	j.acceptedBy = restoreQueue(r.Queue(), r.AcceptedBy())
+	j.started = len(r.Steps()) > 0
 	for _, sr := range r.Steps() {
 		s := j.step(sr.Occurrence(), sr.Step())
 		if s == nil {
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -970,3 +970,72 @@
 		n++
 	}
 }
+
+// A refused or unanswered start has begun nothing, so the job still waits.
+func TestCountsJobAsWaitingUntilStartConfirmed(t *testing.T) {
+	d := newDriver(t, testEpoch)
+	d.configure(policy.Advice{}, order.Resources{})
+	d.addWorkers("w1")
+	d.call(order.SubmitJob, smallStep(1))
+	d.commitAll()
+	s, ok := d.takeStart()
+	d.is.True(ok)
+	d.expectWaiting(1, order.JobPending)
+	d.answerStart(s, NewRefusedError(RefusedBusy, 0))
+	d.expectWaiting(1, order.JobPending)
+	d.advance(minCooldown + 100*time.Millisecond)
+	s, ok = d.takeStart()
+	d.is.True(ok)
+	d.answerStart(s, errDiverged)
+	d.expectWaiting(1, order.JobPending)
+	d.answerPoll("w1", []RunningTask{NewRunningTask(s.order.task, s.order.run, "", 10)}, nil)
+	d.expectWaiting(0, order.JobRunning)
+}
+
+// A confirmed start counts at once, and a run that ended before any report.
+func TestCountsJobAsStartedOnceConfirmed(t *testing.T) {
+	for _, confirmed := range []bool{true, false} {
+		d := newDriver(t, testEpoch)
+		d.configure(policy.Advice{}, order.Resources{})
+		d.addWorkers("w1")
+		d.call(order.SubmitJob, smallStep(2))
+		d.commitAll()
+		s, _ := d.takeStart()
+		if confirmed {
+			d.answerStart(s, nil)
+		} else {
+			d.advance(2 * pollDelay)
+			d.answerPoll("w1", nil, []EndedTask{NewEndedTask(1, s.order.task, s.order.run, ResultDone, "")})
+		}
+		d.expectWaiting(0, order.JobRunning)
+	}
+}
+
+// A new owner must not count a job as waiting whose first step has ended.
+func TestCountsProgressOfEarlierOwnerAsStarted(t *testing.T) {
+	d := newDriver(t, testEpoch+1)
+	d.configure(policy.Advice{}, order.Resources{})
+	spec := order.JobSpec{}.WithSteps([]order.JobStep{smallStep(1), smallStep(1).WithAfter([]int{0})})
+	record := order.JobRecord{}.WithID(testJob).WithQueue(testQueue).WithTeam(testTeam).WithSpec(spec).WithEpoch(testEpoch).
+		WithSteps([]order.StepRecord{order.StepRecord{}.WithDone([]int{0})})
+	value, err := record.MarshalCBOR()
+	d.is.NoErr(err)
+	d.m.Restore(entries(jobKey(testJob), value))
+	d.expectWaiting(0, order.JobRunning)
+}
+
+// expectWaiting checks how many jobs are said to wait, and the state of testJob.
+func (d *driver) expectWaiting(count int, state order.JobState) {
+	d.t.Helper()
+	for _, ok := d.takeReply(); ok; _, ok = d.takeReply() {
+	}
+	d.feed(NewCallMsg("client", order.JobCallMsg{}.WithCall(8).WithVerb(order.CountWaiting).WithHost(testHost).
+		WithPath("/proofs/").WithKey(testKey)))
+	r, ok := d.takeReply()
+	d.is.True(ok)
+	d.is.Equal(r.Waiting(), count)
+	d.call(order.JobStatus)
+	r, ok = d.takeReply()
+	d.is.True(ok)
+	d.is.Equal(r.State(), state)
+}
--- a/scheduler/two_owners_test.go
+++ b/scheduler/two_owners_test.go
@@ -286,6 +286,7 @@
 	latest, polls := int64(0), 0
 	for d.now.Sub(confirmedAt) < 2*d.m.limits.maxLease {
 		if p, ok := d.takePoll(); ok {
+			d.is.True(p.order.permit.use(d.now)) // polls go on without a lease
 			polls++
 			latest = max(latest, p.order.leaseEnd)
 			d.feed(PolledMsg{order: p.order, sentAt: d.now, report: NewReport(1000+d.now.Sub(testStart).Milliseconds(), 1, nil, nil)})
@@ -339,6 +340,23 @@
 	d.is.True(d.m.mayStart(d.now))
 }
 
+// A start that waits to be sent must not be sent once a successor may have cancelled its job.
+func TestQueuedStartExpiresWithConfirmation(t *testing.T) {
+	d := newDriver(t, testEpoch)
+	d.configure(policy.Advice{}, order.Resources{})
+	d.addWorkers("w1")
+	d.call(order.SubmitJob, smallStep(1))
+	d.commitAll()
+	for _, c := range d.commands {
+		if s, ok := c.(StartCmd); ok {
+			d.is.True(!s.order.permit.use(d.now.Add(d.m.limits.cancelBound)))
+			d.is.True(s.order.permit.use(d.now.Add(d.m.limits.cancelBound / 2)))
+			return
+		}
+	}
+	t.Fatal("no start")
+}
+
 // A refusal for a later epoch must end the ownership at once.
 func TestLaterEpochEndsOwnership(t *testing.T) {
 	refused := NewRefusedError(RefusedStaleEpoch, 0)
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -51,9 +51,10 @@
 		// at the last poll.
 		connRefused bool
 
-		// polling reports whether a poll is open. missedCalls counts the failed
-		// calls since the last report.
+		// polling reports whether a poll is open, and pollPermit is that of the
+		// last one. missedCalls counts the failed calls since the last report.
 		polling     bool
+		pollPermit  *permit
 		nextPollAt  time.Time
 		missedCalls int
 
@@ -144,14 +145,14 @@
 		m.updateWorker(now, info)
 	}
 	for _, id := range in.removed {
-		m.markUnlisted(id)
+		m.markUnlisted(now, id)
 	}
 	if !in.complete {
 		return
 	}
 	for _, w := range m.sortedWorkers() {
 		if !listed[w.id] {
-			m.markUnlisted(w.id)
+			m.markUnlisted(now, w.id)
 		}
 	}
 }
@@ -170,6 +171,7 @@
 		return
 	}
 	if w.info.incarnation != 0 && info.incarnation > w.info.incarnation {
+		w.info = info
 		m.resetWorker(now, w)
 	}
 	if info.draining && !w.draining {
@@ -182,6 +184,9 @@
 	w.infoStale = false
 	w.rack = rackOf(info.labels)
 	w.updateFree()
+	if w.draining {
+		m.withdrawStarts(now, w, "worker drains")
+	}
 }
 
 // rackOf returns the label that names the rack, such as r1-2, or an empty
@@ -197,7 +202,7 @@
 
 // markUnlisted handles a worker that the discovery no longer lists. It is
 // removed only when it can have no more runs.
-func (m *Scheduler) markUnlisted(id order.WorkerID) {
+func (m *Scheduler) markUnlisted(now time.Time, id order.WorkerID) {
 	w := m.workers[id]
 	if w == nil {
 		return
@@ -207,6 +212,7 @@
 		return
 	}
 	w.listed = false
+	m.withdrawStarts(now, w, "worker no longer listed")
 	m.log.Info().Str("worker", string(id)).Int("runs", len(w.attempts)).Time("lease_end", w.leaseEnd).Msg("yard: worker no longer listed")
 	if len(w.attempts) == 0 && m.lapsed(w) {
 		m.removeWorker(w)
@@ -214,15 +220,50 @@
 }
 
 // resetWorker drops the runs and the state of a worker's earlier incarnation.
+// Runs that may have started on the present one are kept.
 func (m *Scheduler) resetWorker(now time.Time, w *worker) {
 	m.log.Info().Str("worker", string(w.id)).Int("runs", len(w.attempts)).Uint64("epoch", uint64(m.epoch)).
 		Dur("ownership_age", m.ownershipAge(now)).Msg("yard: worker restarted")
-	m.dropAttempts(now, w, "worker started anew")
+	w.pollPermit.withdraw()
+	for _, a := range w.attempts {
+		if a.reported() || a.startPermit.withdraw() {
+			m.release(a)
+			m.requeue(now, a, "worker started anew")
+			continue
+		}
+		m.keepUnreported(now, a)
+	}
 	w.unackedEnds, w.lastEnded, w.acked = nil, 0, 0
 	w.clockReadAt, w.contacted, w.reported, w.failures = time.Time{}, false, false, nil
 	w.missedCalls, w.unresponsive, w.cooldownUntil = 0, false, time.Time{}
 }
 
+// keepUnreported keeps a run whose start was sent to an earlier incarnation of
+// the worker and that no report has listed. The present incarnation may have
+// got the start, as a worker checks only its ID. A lease that ends on the clock
+// of another incarnation may last for the longest time allowed.
+func (m *Scheduler) keepUnreported(now time.Time, a *attempt) {
+	a.worker.leaseEnd = timers.Later(a.worker.leaseEnd, now.Add(maxLeaseTime(m.limits.maxLease)))
+	a.stopPermit.withdraw()
+	a.stopConfirmedAt = time.Time{}
+	if a.state == attemptStopping {
+		m.sendStop(now, a)
+		return
+	}
+	a.state, a.orderedAt = attemptUnconfirmed, now
+}
+
+// withdrawStarts withdraws the starts that are not sent yet to a worker that may
+// get none any more, and makes their tasks wait again.
+func (m *Scheduler) withdrawStarts(now time.Time, w *worker, reason string) {
+	for _, a := range w.attempts {
+		if a.state == attemptSent && a.startPermit.withdraw() {
+			m.release(a)
+			m.requeue(now, a, reason)
+		}
+	}
+}
+
 // dropAttempts ends all runs of the worker and makes their tasks wait again.
 func (m *Scheduler) dropAttempts(now time.Time, w *worker, reason string) {
 	for _, a := range w.attempts {
@@ -249,20 +290,29 @@
 		if first {
 			m.firstContacts++
 		}
-		o := PollOrder{to: w.address(), epoch: m.epoch, acked: w.acked, first: first}
-		// A worker that does not respond gets no longer lease, so that its runs
-		// have certainly ended at some time.
-		if w.contacted && w.missedCalls == 0 {
-			o.wait = pollWait
-			if len(w.attempts) == 0 {
-				o.wait = idlePollWait
-			}
-			o.leaseEnd = m.grantLease(now, w)
-		}
+		o := m.newPoll(now, w)
+		o.first, w.pollPermit = first, o.permit
 		m.emit(PollCmd{order: o})
 	}
 }
 
+// newPoll returns the next poll of a worker. One that does not respond gets no
+// longer lease, so that its runs have certainly ended at some time.
+func (m *Scheduler) newPoll(now time.Time, w *worker) PollOrder {
+	o := PollOrder{to: w.address(), epoch: m.epoch, acked: w.acked, permit: &permit{}}
+	if !w.contacted || w.missedCalls > 0 {
+		return o
+	}
+	o.wait = pollWait
+	if len(w.attempts) == 0 {
+		o.wait = idlePollWait
+	}
+	if o.leaseEnd = m.grantLease(now, w); o.leaseEnd != 0 {
+		o.permit = m.leasePermit(now)
+	}
+	return o
+}
+
 // shouldPoll reports whether the worker is polled: while it is listed, has
 // runs, or may have runs of an earlier owner.
 func (m *Scheduler) shouldPoll(w *worker) bool {
@@ -284,7 +334,7 @@
 // when it has certainly expired. It returns zero if no lease may be granted.
 func (m *Scheduler) grantLease(now time.Time, w *worker) int64 {
 	length := m.leaseLength(now)
-	if length == 0 {
+	if length <= leaseMargin {
 		return 0
 	}
 	w.leaseEnd = timers.Later(w.leaseEnd, now.Add(maxLeaseTime(length)))
@@ -330,7 +380,7 @@
 		return
 	}
 	w.polling = false
-	if in.order.to.incarnation != w.info.incarnation {
+	if in.order.to.incarnation != w.info.incarnation || errors.Is(in.err, errWithdrawn) {
 		return
 	}
 	if in.err != nil {
@@ -366,8 +416,8 @@
 	w.nextPollAt = now.Add(pollDelay)
 }
 
-// handlePollError handles a failed poll. Only the first of several failures is
-// logged.
+// handlePollError handles a failed poll, after which the worker gets no starts
+// until its next report. Only the first of several failures is logged.
 func (m *Scheduler) handlePollError(now time.Time, w *worker, err error) {
 	w.missedCalls++
 	w.connRefused = errors.Is(err, ErrNotListening)
@@ -381,6 +431,7 @@
 		m.registry.Count("yard.workers.lost_contact")
 		m.log.Warn().Err(err).Str("worker", string(w.id)).Int("runs", len(w.attempts)).Msg("yard: worker not reached")
 	}
+	m.withdrawStarts(now, w, "worker not reached")
 }
 
 // recordUnreadable counts the rows of a report that could not be read, and logs
@@ -432,6 +483,7 @@
 // recordProgress records the reported progress of a run. It repeats a stop
 // without effect, and moves a stalled run.
 func (m *Scheduler) recordProgress(now time.Time, a *attempt, r RunningTask) {
+	a.markStarted()
 	if a.state == attemptSent || a.state == attemptUnconfirmed {
 		a.state = attemptRunning
 	}
