Confirm the ownership beside the renewals, not after them

What callers could have seen: nothing starts for as long as the store answers in 450 ms or more, and the cell changes owners (rule LOST): the read that confirms the ownership followed each renewal, so that two calls in a row had to fit into the lease of 1 s.

The reads now have a loop of their own, and a lease that is replaced gets a timeout for each of its two calls. An owner whose reads are refused while its renewals are served reports the store as unreachable after 2 s, so that another host may claim; it would keep an idle cell and start nothing.

--- a/election/elector.go
+++ b/election/elector.go
@@ -50,11 +50,13 @@
 		heartbeat       order.OwnerHeartbeatMsg
 
 		// isOwner reports whether this process owns the cell, with the given
-		// lease, last renewed at renewedAt. storeAnsweredAt is when the last
-		// call was sent that the store answered.
+		// lease, last renewed at renewedAt. confirmedAt is when the last read
+		// was sent that found the record unchanged, and storeAnsweredAt when
+		// the last call was sent that the store answered.
 		isOwner         bool
 		lease           storage.LeaseID
 		renewedAt       time.Time
+		confirmedAt     time.Time
 		storeAnsweredAt time.Time
 
 		// leaving is set by Leave; from then on this process makes no claim.
@@ -123,7 +125,8 @@
 	// store. A takeover has to fit into the workers' leases of 6 s.
 	leaseTTL = time.Second
 
-	// renewInterval allows two renewals to fail before the lease expires.
+	// renewInterval allows two renewals to fail before the lease expires. The
+	// ownership is confirmed as often.
 	renewInterval = 300 * time.Millisecond
 
 	// heartbeatTimeout is how long an owner may send no heartbeat; it sends
@@ -276,6 +279,14 @@
 	return e.clock.Now().Sub(e.storeAnsweredAt)
 }
 
+// ConfirmedAge returns the time since the store last confirmed that this process
+// owns the cell. It means nothing at another process.
+func (e *Elector) ConfirmedAge() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.clock.Now().Sub(e.confirmedAt)
+}
+
 // ReachesStore reports whether the last probe of the store succeeded. A process
 // that is not the owner probes the store while the owner's last heartbeat
 // reports that the owner does not reach it, and before the first heartbeat.
@@ -296,6 +307,11 @@
 		f := storage.NewFollower(e.store, e.clock, Prefix, 0, e.log, e.applyChange)
 		_ = f.Run(ctx)
 	}()
+	wg.Add(1)
+	go func() {
+		defer wg.Done()
+		e.runConfirm(ctx)
+	}()
 	ticks := e.clock.Subscribe(tickInterval)
 	defer ticks.Close()
 	for {
@@ -596,7 +612,7 @@
 func (e *Elector) recordAcquired(claim order.OwnerRecord, record storage.Entry, lease storage.LeaseID, sent time.Time, suspended time.Duration) {
 	e.mu.Lock()
 	e.owner, e.version, e.lease = claim, record.Version(), lease
-	e.isOwner, e.renewedAt, e.storeAnsweredAt = true, sent, sent
+	e.isOwner, e.renewedAt, e.confirmedAt, e.storeAnsweredAt = true, sent, sent, sent
 	e.mu.Unlock()
 	e.registry.Count("helm.acquired")
 	e.log.Info().Uint64("epoch", uint64(claim.Epoch())).Uint64("version", uint64(record.Version())).Msg("helm: cell acquired")
@@ -627,15 +643,30 @@
 		e.log.Warn().Err(err).Dur("store_age", e.clock.Now().Sub(e.storeAnsweredAt)).Msg("helm: lease not renewed")
 	}
 	e.mu.Unlock()
-	if err == nil {
-		e.confirm(ctx)
+}
+
+// runConfirm confirms the ownership every renewInterval, until the context ends.
+// It does not wait for renewals, nor do they for it, as a slow store answers
+// only two calls within the lease.
+func (e *Elector) runConfirm(ctx context.Context) {
+	ticks := e.clock.Subscribe(renewInterval)
+	defer ticks.Close()
+	for {
+		select {
+		case <-ticks.C():
+			if _, _, isOwner := e.Owner(); isOwner {
+				e.confirm(ctx)
+			}
+		case <-ctx.Done():
+			return
+		}
 	}
 }
 
 // confirm reads the ownership record. A renewed lease alone is no proof of the
 // ownership, since another process may have claimed the cell before it expired.
 func (e *Elector) confirm(ctx context.Context) {
-	limited, cancel := context.WithTimeout(ctx, e.nextCallTimeout())
+	limited, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	sent, suspended := e.clock.Now(), e.clock.Suspended()
 	stored, err := e.store.Get(limited, ownerKey)
@@ -652,6 +683,9 @@
 	case stored.Version() != version:
 		e.StepDown("the ownership record has changed")
 	default:
+		e.mu.Lock()
+		e.confirmedAt = timers.Later(e.confirmedAt, sent)
+		e.mu.Unlock()
 		e.offer(ConfirmedEvent{epoch: epoch, at: sent, suspended: suspended})
 	}
 }
@@ -659,17 +693,19 @@
 // replaceLease grants a new lease and writes it if the ownership record is
 // unchanged.
 func (e *Elector) replaceLease(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	limited, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	e.mu.Lock()
 	version := e.version
 	e.mu.Unlock()
-	lease, err := e.store.Grant(ctx, leaseTTL)
+	lease, err := e.store.Grant(limited, leaseTTL)
 	if err != nil {
 		return fmt.Errorf("grant lease: %w", err)
 	}
 	batch := storage.Batch{}.Expect(ownerKey, version).Put(leaseKey, []byte(e.self), lease)
-	_, err = e.store.Commit(ctx, batch)
+	limited, cancel = context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	_, err = e.store.Commit(limited, batch)
 	if errors.Is(err, storage.ErrConflict) {
 		e.StepDown("the lease ended and another process claimed the cell")
 		return err
--- a/entryhost/heartbeat.go
+++ b/entryhost/heartbeat.go
@@ -33,6 +33,11 @@
 	// lease every 300 ms.
 	storeTimeout = 700 * time.Millisecond
 
+	// confirmTimeout is how old the last confirmation of the ownership may be
+	// before the owner reports the store as unreachable. It starts no tasks
+	// once the confirmation is older than the bound on cancellations, 3 s.
+	confirmTimeout = 2 * time.Second
+
 	// storeReportTTL is how long another host's report that it reaches the
 	// store is valid.
 	storeReportTTL = 1200 * time.Millisecond
@@ -62,7 +67,8 @@
 }
 
 // storeReachable reports whether this process has access to the store: neither
-// its commits nor its other calls have failed for too long.
+// its commits nor its other calls have failed for too long, and if it is the
+// owner, the store has confirmed that lately.
 func (h *Host) storeReachable() bool {
 	h.mu.Lock()
 	cell := h.runner
@@ -70,6 +76,9 @@
 	if cell != nil && cell.StoreFailingFor() > commitFailureTimeout {
 		return false
 	}
+	if _, _, isOwner := h.elector.Owner(); isOwner && h.elector.ConfirmedAge() > confirmTimeout {
+		return false
+	}
 	return h.elector.StoreAge() < storeTimeout
 }
 
