Count with the longest lease after a worker's restart

What callers could have seen: a task that runs twice. An order of a worker's former life that is under way may give the present one a lease of up to 10 s, as its end stands on another clock, while the owner counted 6 s.

--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -233,6 +233,9 @@
 		}
 		m.keepUnreported(now, a)
 	}
+	// An order of the earlier life that is still under way may give the present
+	// one the longest lease, as it ends on another clock.
+	w.leaseEnd = timers.Later(w.leaseEnd, now.Add(maxLeaseTime(m.limits.maxLease)))
 	w.unackedEnds, w.lastEnded, w.acked = nil, 0, 0
 	w.clockReadAt, w.contacted, w.reported, w.failures = time.Time{}, false, false, nil
 	w.missedCalls, w.unresponsive, w.cooldownUntil = 0, false, time.Time{}
@@ -240,10 +243,8 @@
 
 // keepUnreported keeps a run whose start was sent to an earlier incarnation of
 // the worker and that no report has listed. The present incarnation may have
-// got the start, as a worker checks only its ID. A lease that ends on the clock
-// of another incarnation may last for the longest time allowed.
+// got the start, as a worker checks only its ID.
 func (m *Scheduler) keepUnreported(now time.Time, a *attempt) {
-	a.worker.leaseEnd = timers.Later(a.worker.leaseEnd, now.Add(maxLeaseTime(m.limits.maxLease)))
 	a.stopPermit.withdraw()
 	a.stopConfirmedAt = time.Time{}
 	if a.state == attemptStopping {
