Guard what no test failed without in the bounds on an owner

The test of the last one refuses only at the former address, as the stored list has the present one since.

--- a/scheduler/address_test.go
+++ b/scheduler/address_test.go
@@ -49,20 +49,31 @@
 	s, ok := o.takeStart()
 	o.is.True(ok)
 
+	n := succeedAt(t, moved, stored, s)
+	if again, started := n.takeStart(); started {
+		t.Errorf("run %d of %v at %s while run %d is at %s", again.order.run, again.order.task, again.order.to.worker, s.order.run, s.order.to.worker)
+	}
+}
+
+// succeedAt returns a later owner whose first poll of the moved worker is answered at its address, and refused at any other.
+func succeedAt(t *testing.T, moved WorkerInfo, stored map[string][]byte, former StartCmd) *driver {
 	n := newDriver(t, testEpoch+1)
 	n.m.Restore(entries(jobKey(testJob), stored[jobKey(testJob)]))
 	n.m.RestoreWorkers(storage.NewEntry(WorkersKey, stored[WorkersKey], 5))
 	n.configure(policy.Advice{}, order.Resources{})
 	n.advance(20 * time.Millisecond)
-	p, ok = n.takePollOf("w1")
+	p, ok := n.takePollOf("w1")
 	n.is.True(ok)
-	n.feed(PolledMsg{order: p.order, sentAt: n.now, err: NewRefusedError(RefusedIncarnation, 0)})
+	if p.order.to.address == moved.address {
+		report := NewReport(2000, 2, []RunningTask{NewRunningTask(former.order.task, former.order.run, "", 10)}, nil)
+		n.feed(PolledMsg{order: p.order, sentAt: n.now, report: report})
+	} else {
+		n.feed(PolledMsg{order: p.order, sentAt: n.now, err: NewRefusedError(RefusedIncarnation, 0)})
+	}
 	n.feed(NewWorkersMsg([]WorkerInfo{moved, workerInfo("w2", 1)}, nil, true))
 	n.commitAll()
 	n.answerPoll("w2", nil, nil)
 	n.commitAll()
 	n.advance(200 * time.Millisecond)
-	if again, started := n.takeStart(); started {
-		t.Errorf("run %d of %v at %s while run %d is at %s", again.order.run, again.order.task, again.order.to.worker, s.order.run, s.order.to.worker)
-	}
+	return n
 }
--- a/scheduler/runner_test.go
+++ b/scheduler/runner_test.go
@@ -252,3 +252,38 @@
 	is.True(errors.Is(err, ErrNotSent))
 	is.Equal(w.calls, 0)
 }
+
+// fencedWorkers refuses every order, as workers that have accepted a later owner do.
+type fencedWorkers struct{}
+
+func (fencedWorkers) Start(context.Context, StartOrder) (int64, error) {
+	return 0, NewRefusedError(RefusedStaleEpoch, 0)
+}
+
+func (fencedWorkers) Stop(context.Context, StopOrder) (int64, error) {
+	return 0, NewRefusedError(RefusedStaleEpoch, 0)
+}
+
+func (fencedWorkers) Poll(context.Context, PollOrder) (Report, error) {
+	return Report{}, NewRefusedError(RefusedStaleEpoch, 0)
+}
+
+func (fencedWorkers) Disconnect() {}
+
+// suspendedClock is a clock of a machine that was suspended for an hour.
+type suspendedClock struct{ timers.Clock }
+
+func (suspendedClock) Suspended() time.Duration { return time.Hour }
+
+// A cell must end once a worker has accepted a later owner, and must count suspensions.
+func TestRunEndsAtLaterOwnerAndCountsSuspensions(t *testing.T) {
+	is := is.New(t)
+	m := New(testMember, testEpoch, storage.NewEntry("cell/owner", nil, 1), NewLimits(time.Second, time.Minute),
+		time.Now(), gauge.New(zerolog.Nop()), zerolog.Nop())
+	r := NewRunner(m, suspendedClock{timers.New()}, storage.NewMemory(timers.New()), fencedWorkers{}, nil, zerolog.Nop())
+	is.NoErr(r.Enqueue(NewWorkersMsg([]WorkerInfo{workerInfo("w1", 1)}, nil, true)))
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	is.True(errors.Is(r.Run(ctx), ErrLost))
+	is.Equal(m.suspended, time.Hour)
+}
