--- a/scheduler/restored_life_test.go
+++ b/scheduler/restored_life_test.go
@@ -32,3 +32,12 @@
 		t.Errorf("the poll of life 2 acknowledges end %d and has a lease to %d at clock 500", p.order.acked, p.order.leaseEnd)
 	}
 }
+
+// An order that is under way when its worker restarts may give the new life the longest lease.
+func TestRestartCountsWithLongestLease(t *testing.T) {
+	d := newDriver(t, testEpoch)
+	d.configure(policy.Advice{}, order.Resources{})
+	d.addWorkers("w1")
+	d.feed(NewWorkersMsg([]WorkerInfo{workerInfo("w1", 2)}, nil, false))
+	d.is.True(!d.m.workers["w1"].leaseEnd.Before(d.now.Add(d.m.limits.maxLease)))
+}
--- a/scheduler/two_owners_test.go
+++ b/scheduler/two_owners_test.go
@@ -232,29 +232,53 @@
 func playPartition(t *testing.T, zone string, ids []order.WorkerID) {
 	f := newFleet(ids...)
 	inside := func(id order.WorkerID) bool { return string(id[:1]) == zone }
+	o, job := startFirstOwner(t, f, ids, smallStep(20), smallStep(20).WithAfter([]int{0}))
+	o.unconfirmed, o.reaches = true, inside
+	f.play(1500*time.Millisecond, o)
+	n := startSuccessor(t, f, ids, job)
+	n.reaches = func(id order.WorkerID) bool { return !inside(id) }
+	f.play(16*time.Second, o, n)
+	n.reaches = func(order.WorkerID) bool { return true }
+	f.play(20*time.Second, n)
+	f.check(t)
+	n.is.True(n.m.jobs[testJob].complete())
+}
+
+// play lets time pass for the fleet and the owners.
+func (f *fleet) play(length time.Duration, owners ...*fleetOwner) {
+	for end := f.now.Add(length); f.now.Before(end); {
+		f.advance()
+		for _, owner := range owners {
+			owner.step()
+		}
+	}
+}
+
+func (f *fleet) check(t *testing.T) {
+	t.Helper()
+	if len(f.broken) > 0 {
+		t.Errorf("%d starts of tasks that were running or done, first: %s", len(f.broken), f.broken[0])
+	}
+}
+
+// startFirstOwner returns the first owner of the fleet, which has started the first 20 tasks of the job, and the job's record.
+func startFirstOwner(t *testing.T, f *fleet, ids []order.WorkerID, steps ...order.JobStep) (*fleetOwner, []byte) {
 	o := newFleetOwner(t, f, 1)
 	o.configure(policy.Advice{}, order.Resources{})
 	o.list(ids...)
-	play := func(length time.Duration, owners ...*fleetOwner) {
-		for end := f.now.Add(length); f.now.Before(end); {
-			f.advance()
-			for _, owner := range owners {
-				owner.step()
-			}
-		}
-	}
-	play(time.Second, o)
-	o.call(order.SubmitJob, smallStep(20), smallStep(20).WithAfter([]int{0}))
-	value, err := o.m.jobs[testJob].record().MarshalCBOR()
+	f.play(time.Second, o)
+	o.call(order.SubmitJob, steps...)
+	job, err := o.m.jobs[testJob].record().MarshalCBOR()
 	o.is.NoErr(err)
-	play(time.Second, o)
+	f.play(time.Second, o)
 	o.is.Equal(len(f.runs), 20)
+	return o, job
+}
 
-	o.unconfirmed, o.reaches = true, inside
-	play(1500*time.Millisecond, o)
+// startSuccessor returns a later owner that has read the job and the list of workers.
+func startSuccessor(t *testing.T, f *fleet, ids []order.WorkerID, job []byte) *fleetOwner {
 	n := newFleetOwner(t, f, 2)
-	n.reaches = func(id order.WorkerID) bool { return !inside(id) }
-	n.m.Restore(entries(jobKey(testJob), value))
+	n.m.Restore(entries(jobKey(testJob), job))
 	var records []order.WorkerRecord
 	for _, id := range ids {
 		records = append(records, order.WorkerRecord{}.WithID(id).WithAddress("10.0.1.1:80").WithService("press"))
@@ -264,14 +288,7 @@
 	n.m.RestoreWorkers(entries(WorkersKey, list)[0])
 	n.list(ids...)
 	n.configure(policy.Advice{}, order.Resources{})
-	play(16*time.Second, o, n)
-
-	n.reaches = func(order.WorkerID) bool { return true }
-	play(20*time.Second, n)
-	if len(f.broken) > 0 {
-		t.Errorf("%d starts of tasks that were running or done, first: %s", len(f.broken), f.broken[0])
-	}
-	n.is.True(n.m.jobs[testJob].complete())
+	return n
 }
 
 // An owner without the store must not grant leases that a successor does not count with.
