Pass configuration and links to the cell once its inbox has room

What callers could have seen: a configuration or the state of a link to another host that the owner never learns of, since the change found its inbox full (seen by reading, beside the same fault with workers' entries). TestFullInboxLosesNoConfiguration tests what did not exist before.

--- a/entryhost/cell.go
+++ b/entryhost/cell.go
@@ -101,9 +101,7 @@
 	h.mu.Lock()
 	h.runner = cell
 	for peer := range h.links {
-		if err := cell.Enqueue(scheduler.NewHostLinkMsg(peer, true)); err != nil {
-			h.log.Error().Err(err).Msg("pier: link not passed to the cell")
-		}
+		h.passLink(peer)
 	}
 	h.decodeOperatorDocs()
 	h.mu.Unlock()
--- a/entryhost/heartbeat.go
+++ b/entryhost/heartbeat.go
@@ -59,6 +59,7 @@
 				h.sendHeartbeat(reachable)
 				h.releaseIfIsolated(now)
 			}
+			h.passHeld()
 			h.forwarder.Resend()
 		case <-ctx.Done():
 			return nil
--- a/entryhost/host.go
+++ b/entryhost/host.go
@@ -94,9 +94,16 @@
 		withdrawn    []order.DomainName
 		links        map[order.MemberID]bool
 		storeReports map[order.MemberID]storeReport
-		runner       *scheduler.Runner
-		cancelCell   context.CancelFunc
-		cellDone     chan struct{}
+
+		// configHeld reports whether the cell lacks the present configuration,
+		// and linksHeld has the links whose state it lacks, because its inbox
+		// was full.
+		configHeld bool
+		linksHeld  map[order.MemberID]bool
+
+		runner     *scheduler.Runner
+		cancelCell context.CancelFunc
+		cellDone   chan struct{}
 
 		// lastLinked is when the host last had a link or did not own the cell,
 		// and lastReleased when it last released the cell for lack of links.
@@ -184,6 +191,7 @@
 		operatorDocs: storage.NewMirror(),
 		links:        make(map[order.MemberID]bool),
 		storeReports: make(map[order.MemberID]storeReport),
+		linksHeld:    make(map[order.MemberID]bool),
 	}
 	h.ctx, h.cancel = context.WithCancel(context.Background())
 	h.node = transport.New(h.self, order.RolePlacer, domain, secret, clock, registry, log,
@@ -418,9 +426,9 @@
 		delete(h.links, peer)
 		delete(h.storeReports, peer)
 	}
+	h.passLink(peer)
 	h.mu.Unlock()
 	h.forwarder.SetLink(peer, up)
-	h.sendToCell(scheduler.NewHostLinkMsg(peer, up))
 	if owner, _, _ := h.elector.Owner(); !up && peer == owner {
 		h.wg.Add(1)
 		go func() {
--- a/entryhost/inbox_test.go
+++ b/entryhost/inbox_test.go
@@ -88,3 +88,30 @@
 	is.NoErr(<-ended)
 	is.NoErr(<-ended)
 }
+
+// Guards against a configuration or a link that the cell never learns of, because its inbox was full at the change.
+func TestFullInboxLosesNoConfiguration(t *testing.T) {
+	is := is.New(t)
+	clock, registry, log := timers.New(), gauge.New(zerolog.Nop()), zerolog.Nop()
+	memory := storage.NewMemory(clock)
+	workers := &pollRecorder{polled: make(chan order.WorkerID, 1)}
+	limits := scheduler.NewLimits(time.Second, time.Minute)
+	h := New("10.0.0.1:7000", "quay", "a secret of sixteen", NewDependencies(memory, workers, nil, workerDecoder{}), limits, clock, registry, log)
+	m := scheduler.New(h.self, 1, storage.NewEntry("cell/owner", nil, 1), limits, clock.Now(), registry, log)
+	h.runner = scheduler.NewRunner(m, clock, memory, workers, h.node, log)
+	for h.runner.Enqueue(scheduler.NewPauseMsg(true)) == nil {
+	}
+	h.handleLink("10.0.0.2:7000/b", true)
+	h.mu.Lock()
+	h.passConfig()
+	held := h.configHeld && h.linksHeld["10.0.0.2:7000/b"]
+	h.mu.Unlock()
+	is.True(held)
+
+	ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+	defer cancel()
+	is.NoErr(h.runner.Run(ctx))
+	h.passHeld()
+	is.True(!h.configHeld)
+	is.Equal(len(h.linksHeld), 0)
+}
--- a/entryhost/operator.go
+++ b/entryhost/operator.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"chervilhollow/order"
 	"chervilhollow/scheduler"
 	"chervilhollow/storage"
 )
@@ -57,9 +58,43 @@
 		h.config = config
 	}
 	h.withdrawn = withdrawn
-	if h.runner != nil {
-		if err := h.runner.Enqueue(scheduler.NewConfigMsg(h.config, h.withdrawn)); err != nil {
-			h.log.Error().Err(err).Msg("pier: configuration not passed to the cell")
-		}
+	h.passConfig()
+}
+
+// passConfig passes the configuration to the cell, if this host runs it. The
+// heartbeat tries again if the inbox is full. The lock must be held.
+func (h *Host) passConfig() {
+	h.configHeld = false
+	if h.runner == nil {
+		return
+	}
+	if err := h.runner.Enqueue(scheduler.NewConfigMsg(h.config, h.withdrawn)); err != nil {
+		h.configHeld = true
+		h.log.Warn().Err(err).Msg("pier: configuration not passed to the cell yet")
+	}
+}
+
+// passLink passes the state of a link to the cell, if this host runs it. The
+// heartbeat tries again if the inbox is full. The lock must be held.
+func (h *Host) passLink(peer order.MemberID) {
+	delete(h.linksHeld, peer)
+	if h.runner == nil {
+		return
+	}
+	if err := h.runner.Enqueue(scheduler.NewHostLinkMsg(peer, h.links[peer])); err != nil {
+		h.linksHeld[peer] = true
+		h.log.Warn().Err(err).Str("peer", string(peer)).Msg("pier: link not passed to the cell yet")
+	}
+}
+
+// passHeld passes to the cell what found its inbox full.
+func (h *Host) passHeld() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.configHeld {
+		h.passConfig()
+	}
+	for peer := range h.linksHeld {
+		h.passLink(peer)
 	}
 }
