Close no connection of a stopping host on which a call arrives

A client that sent a call as a host stopped could get the end of the connection instead of a response. net/http counts a connection as idle until the whole header of a request has been read, so that Shutdown closes it although the request has begun to arrive, lies unread in the system's buffer, or waits for a busy process to look at it. Connections that had not been accepted were reset.

The new package drain wraps an http.Server. Its Shutdown accepts what is queued at the listener, leaves a connection alone from the first byte of a request to the last of the response, and closes it after half a second without use. At the moment of closing it looks once more for bytes that have arrived, and serves them. The servers of a host shut down at the same time, so that three of them take 2 s at most, not 6.

A call that was open when the stop began did not get Connection: close, so that the client sent its next call on a connection that was about to be closed. The header is now chosen when the response is written.

Tests that failed before: TestStopAnswersCallThatIsArriving ("unexpected EOF" at the second half of the header). In package drain, with http.Server.Shutdown in place of the new one: TestAnswersRequestThatIsArriving, TestAnswersRequestThatIsQueued, TestServesQueuedConnections and TestServeReturnsAfterLastResponse.

--- a/entryhost/host.go
+++ b/entryhost/host.go
@@ -19,6 +19,7 @@
 	"github.com/oklog/run"
 	"github.com/rs/zerolog"
 
+	"chervilhollow/drain"
 	"chervilhollow/election"
 	"chervilhollow/gauge"
 	"chervilhollow/order"
@@ -262,9 +263,7 @@
 	// The group interrupts its actors in the order in which they are added.
 	// The HTTP servers come first: pending calls need the links to other hosts
 	// to finish.
-	for l, handler := range servers {
-		h.addServer(&group, l, handler)
-	}
+	h.addServers(&group, servers)
 	group.Add(func() error { return h.node.Serve(peers) }, func(error) { h.node.Close() })
 	for _, part := range []func(context.Context) error{
 		h.elector.Run, h.watchOperatorDocs, h.followOwnership, h.runHeartbeat,
@@ -282,21 +281,30 @@
 	return err
 }
 
-func (h *Host) addServer(group *run.Group, l net.Listener, handler http.Handler) {
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
-	group.Add(func() error {
-		err := server.Serve(l)
-		if errors.Is(err, http.ErrServerClosed) {
-			return nil
-		}
-		return err
-	}, func(error) {
-		ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
-		defer cancel()
-		if err := server.Shutdown(ctx); err != nil {
-			h.log.Warn().Err(err).Msg("pier: HTTP server not shut down cleanly")
-		}
-	})
+// addServers adds the HTTP servers to the group. They shut down together,
+// before the group interrupts what was added later.
+func (h *Host) addServers(group *run.Group, handlers map[net.Listener]http.Handler) {
+	var servers []*drain.Server
+	for l, handler := range handlers {
+		server := drain.New(&http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}, h.clock)
+		servers = append(servers, server)
+		group.Add(func() error { return server.Serve(l) }, func(error) { h.shutDown(servers) })
+	}
+}
+
+// shutDown waits until the servers have shut down. It may be called again.
+func (h *Host) shutDown(servers []*drain.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+	defer cancel()
+	var wg sync.WaitGroup
+	for _, server := range servers {
+		wg.Go(func() {
+			if err := server.Shutdown(ctx); err != nil {
+				h.log.Warn().Err(err).Msg("pier: HTTP server not shut down cleanly")
+			}
+		})
+	}
+	wg.Wait()
 }
 
 // Stop ends Run at once, without the drain delay that follows a signal. It may
