Handle SIGHUP until the process of a host has ended

A SIGHUP later than the drain delay (2.5 s after SIGTERM) ended a host with its open calls, because awaitStop gave up the signals when it returned. Run now keeps them until it returns, and the program has a handler of its own from its first line to its end: in trials with the first change only, a SIGHUP between the end of Run and the end of the process still ended it ("signal: hangup").

--- a/cmd/host/main.go
+++ b/cmd/host/main.go
@@ -10,8 +10,10 @@
 	"net"
 	"net/http"
 	"os"
+	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"syscall"
 
 	"github.com/rs/zerolog"
 
@@ -30,6 +32,9 @@
 )
 
 func main() {
+	// Without a handler SIGHUP would end the process. entryhost.Host.Run handles
+	// it; before and after that there is nothing to reload.
+	signal.Notify(make(chan os.Signal, 1), syscall.SIGHUP)
 	command, err := settings.HostCommand(os.Args[1:], os.Stderr)
 	if errors.Is(err, flag.ErrHelp) {
 		return
--- a/entryhost/host.go
+++ b/entryhost/host.go
@@ -271,7 +271,12 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		group.Add(func() error { return part(ctx) }, func(error) { cancel() })
 	}
-	group.Add(h.awaitStop, func(error) { h.Stop() })
+	// The process handles signals until Run returns: without a handler SIGHUP
+	// would end it with the calls that are still pending.
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	group.Add(func() error { return h.awaitStop(signals) }, func(error) { h.Stop() })
 	h.log.Info().Str("member", string(h.self)).Str("domain", string(h.domain)).Msg("pier: started")
 	err := group.Run()
 	h.stopCell()
@@ -314,10 +319,7 @@
 // awaitStop returns after Stop, or after a signal and the drain delay. On a
 // signal it releases the cell first, so that another host can take over while
 // this one still forwards calls.
-func (h *Host) awaitStop() error {
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	defer signal.Stop(signals)
+func (h *Host) awaitStop(signals <-chan os.Signal) error {
 	for {
 		select {
 		case <-h.stop:
