Run the test of store faults on a driven clock

TestManagerSurvivesStoreFaults failed once beside load: "slow store: not all partitions are served after 706 ms". An owner replaces a standby that has not replied for 750 ms, and may not act while the store takes seconds to write that. A busy machine keeps a process waiting for so long. That is a second fault beside the slow store, of which the test says nothing.

The test now runs in a bubble of testing/synctest, where time passes only while all goroutines wait.

--- a/ownership/manager_test.go
+++ b/ownership/manager_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -411,6 +412,11 @@
 // outage of the store or while it replies only after seconds.
 func TestManagerSurvivesStoreFaults(t *testing.T) {
 	t.Parallel()
+	// In real time the test also failed when the machine kept a process waiting.
+	synctest.Test(t, surviveStoreFaults)
+}
+
+func surviveStoreFaults(t *testing.T) {
 	store := storage.NewMemory(timers.New())
 	nodes := startAll(t, store, 4, ids(16))
 	watchServed := func(d time.Duration, what string) {
