Stop the gate only after its last response has been sent

At a planned stop callers could get the end of the connection instead of their response, several at a time. http.Server.Serve returns as soon as Shutdown is called, the group of the gate's components took that for the end of one of them, and closed the server with all connections, also those whose response was being written or whose request had begun to arrive.

The server for callers is now a drain.Server, whose Serve returns when all connections are closed, and whose Shutdown closes none on which a request arrives.

TestStopAnswersRequestThatIsArriving failed before ("unexpected EOF"), and with a drain.Server whose Serve returned at once as well.

Two faults of the test itself are mended as well. It counted a submission that the gate had sent twice as two open requests; it now counts each once.

--- a/gateway/gate.go
+++ b/gateway/gate.go
@@ -20,6 +20,7 @@
 	"github.com/oklog/run"
 	"github.com/rs/zerolog"
 
+	"chervilhollow/drain"
 	"chervilhollow/frontend"
 	"chervilhollow/gauge"
 	"chervilhollow/order"
@@ -50,7 +51,7 @@
 	adminListener  net.Listener
 	callerListener net.Listener
 	adminServer    *http.Server
-	callerServer   *http.Server
+	callerServer   *drain.Server
 
 	stopOnce sync.Once
 	stop     chan struct{}
@@ -136,7 +137,7 @@
 		WithAdmission(g.admission).
 		WithConfig(g.config), counterOptions(s)...)
 	g.node.OnMessage(g.handle)
-	g.callerServer = g.frontend.Server()
+	g.callerServer = drain.New(g.frontend.Server(), g.clock)
 	g.adminServer = &http.Server{
 		Handler: gauge.NewAdmin(g.registry,
 			gauge.WithReady(g.Ready),
@@ -208,8 +209,14 @@
 // wait for open requests.
 func (g *Gate) Run() error {
 	var group run.Group
-	g.addServer(&group, g.adminServer, g.adminListener)
-	g.addServer(&group, g.callerServer, g.callerListener)
+	group.Add(func() error {
+		err := g.adminServer.Serve(g.adminListener)
+		if errors.Is(err, http.ErrServerClosed) {
+			return nil
+		}
+		return err
+	}, func(error) { g.adminServer.Close() })
+	group.Add(func() error { return g.callerServer.Serve(g.callerListener) }, func(error) { g.callerServer.Close() })
 	group.Add(func() error { return g.node.Serve(g.peerListener) }, func(error) { g.node.Close() })
 	for _, runComponent := range []func(context.Context) error{
 		g.watcher.Run, g.members.Run, g.exchange.Run, g.directory.Run, g.admission.Run, g.frontend.Run,
@@ -229,16 +236,6 @@
 	return err
 }
 
-func (g *Gate) addServer(group *run.Group, server *http.Server, l net.Listener) {
-	group.Add(func() error {
-		err := server.Serve(l)
-		if errors.Is(err, http.ErrServerClosed) {
-			return nil
-		}
-		return err
-	}, func(error) { server.Close() })
-}
-
 // Stop begins a graceful stop and returns at once. Run returns when the stop is
 // complete. Stop may be called more than once.
 func (g *Gate) Stop() { g.stopOnce.Do(func() { close(g.stop) }) }
@@ -290,8 +287,6 @@
 	case <-linger:
 	case <-ctx.Done():
 	}
-	// All responses are complete by now; only their last bytes may not have
-	// been sent yet.
 	closing, cancel := context.WithTimeout(context.Background(), g.settings.StopLinger()+time.Second)
 	defer cancel()
 	if err := g.callerServer.Shutdown(closing); err != nil {
--- a/gateway/gate_test.go
+++ b/gateway/gate_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -41,7 +42,7 @@
 		placer        *transport.Node
 		holdResponses atomic.Bool
 		mu            sync.Mutex
-		heldResponses []func()
+		heldResponses map[order.RequestID]func()
 	}
 
 	// testGate is a running gate with its addresses.
@@ -58,7 +59,8 @@
 func newTestCluster(t testing.TB) *testCluster {
 	is := is.New(t)
 	storeServer := simulator.NewStore(timers.New())
-	c := &testCluster{t: t, storeServer: httptest.NewServer(storeServer), memoryStore: storeServer.Memory()}
+	c := &testCluster{t: t, storeServer: httptest.NewServer(storeServer), memoryStore: storeServer.Memory(),
+		heldResponses: make(map[order.RequestID]func())}
 	t.Cleanup(func() {
 		c.storeServer.CloseClientConnections()
 		c.storeServer.Close()
@@ -109,7 +111,8 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.heldResponses = append(c.heldResponses, respond)
+	// The gate resends submissions.
+	c.heldResponses[r.ID()] = respond
 }
 
 func (c *testCluster) heldCount() int {
@@ -124,17 +127,23 @@
 	for _, respond := range c.heldResponses {
 		respond()
 	}
-	c.heldResponses = nil
+	clear(c.heldResponses)
 }
 
-func freeAddress(t testing.TB) string {
+// freeAddresses returns addresses that differ from each other, which those of
+// several calls may not.
+func freeAddresses(t testing.TB, count int) []string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	addresses := make([]string, 0, count)
+	for range count {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer l.Close()
+		addresses = append(addresses, l.Addr().String())
 	}
-	defer l.Close()
-	return l.Addr().String()
+	return addresses
 }
 
 func (c *testCluster) startGate(limits ...string) *testGate {
@@ -142,12 +151,13 @@
 	t.Helper()
 	is := is.New(t)
 	limits = append(limits, `"drain_delay": "100ms", "stop_linger": "200ms", "stop_timeout": "20s"`)
-	g := &testGate{caller: freeAddress(t), admin: freeAddress(t), done: make(chan error, 1)}
+	addresses := freeAddresses(t, 3)
+	g := &testGate{caller: addresses[0], admin: addresses[1], done: make(chan error, 1)}
 	cfg, err := settings.ParseGate("gate.json", []byte(fmt.Sprintf(`{
 		"peer_address": %q, "caller_address": %q, "admin_address": %q,
 		"failure_domain": "east", "store_url": %q, "host_list_url": %q, "peer_secret": %q,
 		"limits": {%s}
-	}`, freeAddress(t), g.caller, g.admin, c.storeServer.URL, c.storeServer.URL, peerSecret, strings.Join(limits, ", "))))
+	}`, addresses[2], g.caller, g.admin, c.storeServer.URL, c.storeServer.URL, peerSecret, strings.Join(limits, ", "))))
 	is.NoErr(err)
 	g.gate, err = gateway.NewGate(cfg, timers.New(), zerolog.Nop())
 	is.NoErr(err)
@@ -243,7 +253,12 @@
 	status, body := g.get(t, "/ready")
 	is.Equal(status, http.StatusServiceUnavailable)
 	is.Equal(body, "stopping")
-	time.Sleep(200 * time.Millisecond) // twice the drain delay
+	eventually(t, "refusal after the drain delay", func() bool {
+		response, err := http.Get("http://" + g.caller + "/v1/requests/1")
+		is.NoErr(err)
+		response.Body.Close()
+		return response.StatusCode == http.StatusServiceUnavailable
+	})
 	status, code, _ := g.submit(t, "toys-key", "late")
 	is.Equal(status, http.StatusServiceUnavailable)
 	is.Equal(code, order.Stopping)
@@ -257,17 +272,53 @@
 	is.NoErr(<-g.done)
 }
 
+// Guards against a planned stop that closes a connection while the header of a
+// request arrives.
+func TestStopAnswersRequestThatIsArriving(t *testing.T) {
+	is := is.New(t)
+	c := newTestCluster(t)
+	g := c.startGate()
+	request := "GET /v1/requests/1 HTTP/1.1\r\nHost: gate\r\n\r\n"
+	dial := func() (net.Conn, *bufio.Reader) {
+		conn, err := net.Dial("tcp", g.caller)
+		is.NoErr(err)
+		t.Cleanup(func() { conn.Close() })
+		return conn, bufio.NewReader(conn)
+	}
+	exchange := func(conn net.Conn, reader *bufio.Reader, part string) int {
+		_, err := io.WriteString(conn, part)
+		is.NoErr(err)
+		response, err := http.ReadResponse(reader, nil)
+		is.NoErr(err)
+		defer response.Body.Close()
+		_, _ = io.Copy(io.Discard, response.Body)
+		return response.StatusCode
+	}
+	idle, idleReader := dial()
+	arriving, arrivingReader := dial()
+	is.Equal(exchange(idle, idleReader, request), http.StatusUnauthorized)
+	is.Equal(exchange(arriving, arrivingReader, request), http.StatusUnauthorized)
+	_, err := io.WriteString(arriving, request[:20])
+	is.NoErr(err)
+	g.gate.Stop()
+	_, err = idleReader.ReadByte()
+	is.Equal(err, io.EOF)
+	is.Equal(exchange(arriving, arrivingReader, request[20:]), http.StatusServiceUnavailable)
+	is.NoErr(<-g.done)
+}
+
 // Guards against a gate that starts although one of its addresses is in use.
 func TestAddressInUse(t *testing.T) {
 	is := is.New(t)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
 	defer l.Close()
+	addresses := freeAddresses(t, 2)
 	cfg, err := settings.ParseGate("gate.json", []byte(fmt.Sprintf(`{
 		"peer_address": %q, "caller_address": %q, "admin_address": %q,
 		"failure_domain": "east", "store_url": "http://127.0.0.1:1", "host_list_url": "http://127.0.0.1:1",
 		"peer_secret": %q
-	}`, freeAddress(t), l.Addr(), freeAddress(t), peerSecret)))
+	}`, addresses[0], l.Addr(), addresses[1], peerSecret)))
 	is.NoErr(err)
 	_, err = gateway.NewGate(cfg, timers.New(), zerolog.Nop())
 	is.True(err != nil)
