Report an offer that expired as not started, not as unknown

A request that is not idempotent could be answered with code 401 (outcome_unknown) although it certainly had not run. The confirmation of an offer that arrives after the offer expired found neither an entry nor a tombstone of the attempt if its bid was waiting for the next offer, or had been refused since, and the group took it for an attempt of a former owner. Confirmations arrive late on a busy machine; the task waits if its team has reached its limit.

A waiting bid now knows whose offer expired last. If it is removed, or a message about the offer arrives, the group keeps the tombstone of an expired offer and answers that the attempt did not start. The partition accepts that only from the epoch that made the offer, as before.

--- a/placement/machine_test.go
+++ b/placement/machine_test.go
@@ -397,6 +397,52 @@
 	f.True(ok && ended.NotStarted())
 }
 
+// Guards against an unknown outcome of a task that did not start: the
+// confirmation or the stop of an expired offer arrives while the task waits for
+// the next one, or after its bid was refused.
+func TestExpiredOfferDidNotStart(t *testing.T) {
+	confirm := order.ConfirmMsg{}.WithTask(newTask("tags", "a", 4000).ID()).WithAttempt(1)
+	stop := order.StopMsg{}.WithTask(newTask("tags", "a", 4000).ID()).WithAttempt(1)
+	for _, test := range []struct {
+		name    string
+		late    order.Msg
+		expired int
+		refused bool
+	}{
+		{"confirmed while waiting", confirm, 1, false},
+		{"stopped while waiting", stop, 1, false},
+		{"confirmed after the last offer", confirm, maxOffers, false},
+		{"confirmed after a refusal", confirm, 1, true},
+		{"stopped after a refusal", stop, 1, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			f := newFixture(t, 1).setUp()
+			task := newTask("tags", "a", 4000)
+			f.bid(task)
+			f.advance(offerHold*time.Duration(test.expired-1) + offerHold/2)
+			open := f.config
+			f.guard = dispatch.TCPUserTimeout
+			if test.refused {
+				f.config = open.WithDomain("east", false)
+			}
+			f.advance(offerHold)
+			f.Equal(len(f.m.entries), 0)
+			f.bid(task)
+			f.Equal(f.m.bids.len() == 0, test.refused)
+			f.send(test.late)
+			ended, ok := f.ended(task)
+			f.True(ok)
+			f.True(ended.NotStarted())
+			f.Equal(ended.Epoch(), order.Epoch(1))
+			f.config, f.guard = open, guardPeriod
+			offers := len(f.offers())
+			f.advance(offerHold)
+			f.Equal(len(f.offers()), offers)
+			f.Equal(len(f.starts), 0)
+		})
+	}
+}
+
 // Guards against a task that fits on no worker and waits forever.
 func TestTooLargeIsRefusedAtOnce(t *testing.T) {
 	f := newFixture(t, 2).setUp()
--- a/placement/outcomes.go
+++ b/placement/outcomes.go
@@ -99,6 +99,12 @@
 	m.tombstones[ref] = tombstone{expiresAt: now.Add(tombstoneTTL), notStarted: notStarted, epoch: m.epoch}
 }
 
+// addExpiredOffer adds the tombstone of an attempt whose offer expired. The
+// attempt may bid again.
+func (m *machine) addExpiredOffer(now time.Time, ref dispatch.AttemptRef, epoch order.Epoch) {
+	m.tombstones[ref] = tombstone{expiresAt: now.Add(tombstoneTTL), notStarted: true, offerExpired: true, epoch: epoch}
+}
+
 // answerUnknownAttempt answers a message about an attempt that has no entry.
 //
 // While the task list of a worker has not been read, the attempt may run there,
@@ -108,6 +114,9 @@
 // made by this owner or handed over by the former one, certainly did not start.
 // The message then carries the epoch of that offer.
 func (m *machine) answerUnknownAttempt(now time.Time, ref dispatch.AttemptRef, code order.Code, text string) {
+	if b, ok := m.bids.byTask[ref.Task()]; ok && b.attempt == ref.Attempt() && b.offerEpoch != 0 {
+		m.dropBid(now, b)
+	}
 	t, found := m.tombstones[ref]
 	outcome := order.Outcome{}.WithTask(ref.Task()).WithAttempt(ref.Attempt())
 	switch {
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -18,7 +18,6 @@
 		m.deps.registry.Count("berth.duplicate_bid")
 		return
 	}
-	delete(m.tombstones, ref)
 	if b, ok := m.bids.byTask[task.ID()]; ok && b.attempt >= msg.Attempt() {
 		m.deps.registry.Count("berth.duplicate_bid")
 		return
@@ -31,7 +30,20 @@
 	if queued.IsZero() {
 		queued = now
 	}
-	m.bids.add(&bid{task: task, attempt: msg.Attempt(), queued: queued})
+	// The tombstone would make the machine ignore an attempt that a former owner
+	// started.
+	b := &bid{task: task, attempt: msg.Attempt(), queued: queued, offerEpoch: m.tombstones[ref].epoch}
+	delete(m.tombstones, ref)
+	m.bids.add(b)
+}
+
+// dropBid removes a waiting bid whose task is not started. Late messages about
+// an offer that it had can then still be answered.
+func (m *machine) dropBid(now time.Time, b *bid) {
+	m.bids.remove(b.task.ID())
+	if b.offerEpoch != 0 {
+		m.addExpiredOffer(now, dispatch.NewAttemptRef(b.task.ID(), b.attempt), b.offerEpoch)
+	}
 }
 
 // supersede removes the entry of an earlier attempt so that a later one can
@@ -131,7 +143,7 @@
 	m.checkMissingAllotments()
 	for _, b := range m.bids.sorted() {
 		if code, text := m.checkBid(now, b.task); code != order.Done && code != order.QueueFull {
-			m.bids.remove(b.task.ID())
+			m.dropBid(now, b)
 			m.refuseBid(b.task, b.attempt, code, text)
 		}
 	}
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -10,12 +10,14 @@
 
 type (
 	// bid is a task that waits for capacity. offers counts how often capacity
-	// was offered to it without an answer.
+	// was offered to it without an answer. offerEpoch is that of the owner whose
+	// offer expired last, or zero.
 	bid struct {
-		task    order.Task
-		attempt order.Attempt
-		queued  time.Time
-		offers  int
+		task       order.Task
+		attempt    order.Attempt
+		queued     time.Time
+		offers     int
+		offerEpoch order.Epoch
 	}
 
 	// teamQueue holds the waiting bids of a team, sorted by the time they
--- a/placement/starts.go
+++ b/placement/starts.go
@@ -265,7 +265,7 @@
 
 func (m *machine) onStop(now time.Time, ref dispatch.AttemptRef) {
 	if b, ok := m.bids.byTask[ref.Task()]; ok && b.attempt <= ref.Attempt() {
-		m.bids.remove(ref.Task())
+		m.dropBid(now, b)
 	}
 	e, ok := m.entries[ref.Task()]
 	switch {
@@ -317,10 +317,10 @@
 	m.release(e)
 	m.deps.registry.Count("berth.offer_expired")
 	if e.offers == 0 || e.offers >= maxOffers {
-		m.tombstones[e.ref()] = tombstone{expiresAt: now.Add(tombstoneTTL), notStarted: true, offerExpired: true, epoch: m.epoch}
+		m.addExpiredOffer(now, e.ref(), m.epoch)
 		return
 	}
-	m.bids.add(&bid{task: e.task, attempt: e.attempt, queued: e.queued, offers: e.offers})
+	m.bids.add(&bid{task: e.task, attempt: e.attempt, queued: e.queued, offers: e.offers, offerEpoch: m.epoch})
 }
 
 // tickStarting handles a start that got no clear answer: it is sent again while
