Report an offer that was withdrawn as not started, not as unknown

The second way to a code 401 for a request that certainly had not run: the partition withdraws its bid in a group when it has too many, may bid there again at once, and then receives and confirms the offer that the group made before. The group had dropped the offer without a trace at the withdrawal, and took the confirmation for one of a former owner's offer.

The group now keeps the tombstone of a withdrawn or declined offer, as of one that expired.

TestWithdrawnOfferDidNotStart failed before.

--- a/placement/machine.go
+++ b/placement/machine.go
@@ -142,9 +142,9 @@
 	case order.BidMsg:
 		m.onBid(now, msg)
 	case order.WithdrawMsg:
-		m.onRelease(dispatch.NewAttemptRef(msg.Task(), msg.Attempt()))
+		m.onRelease(now, dispatch.NewAttemptRef(msg.Task(), msg.Attempt()))
 	case order.DeclineMsg:
-		m.onRelease(dispatch.NewAttemptRef(msg.Task(), msg.Attempt()))
+		m.onRelease(now, dispatch.NewAttemptRef(msg.Task(), msg.Attempt()))
 	case order.ConfirmMsg:
 		m.onConfirm(now, dispatch.NewAttemptRef(msg.Task(), msg.Attempt()))
 	case order.StopMsg:
--- a/placement/machine_test.go
+++ b/placement/machine_test.go
@@ -443,6 +443,32 @@
 	}
 }
 
+// Guards against an unknown outcome of a task that did not start: the partition
+// withdraws its bid, bids again and confirms the offer that crossed the two.
+func TestWithdrawnOfferDidNotStart(t *testing.T) {
+	for _, bidsAgain := range []bool{false, true} {
+		f := newFixture(t, 1).setUp()
+		task := newTask("tags", "a", 4000)
+		f.bid(task)
+		f.Equal(len(f.offers()), 1)
+		f.guard = dispatch.TCPUserTimeout
+		f.send(order.WithdrawMsg{}.WithTask(task.ID()).WithAttempt(1))
+		f.Equal(len(f.m.entries), 0)
+		if bidsAgain {
+			f.bid(task)
+		}
+		f.confirm(task)
+		ended, ok := f.ended(task)
+		f.True(ok)
+		f.True(ended.NotStarted())
+		f.Equal(ended.Epoch(), order.Epoch(1))
+		f.guard = guardPeriod
+		f.advance(offerHold)
+		f.Equal(len(f.offers()), 1)
+		f.Equal(len(f.starts), 0)
+	}
+}
+
 // Guards against a task that fits on no worker and waits forever.
 func TestTooLargeIsRefusedAtOnce(t *testing.T) {
 	f := newFixture(t, 2).setUp()
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -401,12 +401,15 @@
 }
 
 // onRelease handles a withdrawn bid or a declined offer.
-func (m *machine) onRelease(ref dispatch.AttemptRef) {
+func (m *machine) onRelease(now time.Time, ref dispatch.AttemptRef) {
 	if b, ok := m.bids.byTask[ref.Task()]; ok && b.attempt <= ref.Attempt() {
-		m.bids.remove(ref.Task())
+		m.dropBid(now, b)
 	}
 	if e, ok := m.entries[ref.Task()]; ok && e.state == order.TaskHeld && e.attempt <= ref.Attempt() {
 		m.release(e)
+		// The partition may have bid again, received the offer only then, and
+		// confirmed it.
+		m.addExpiredOffer(now, e.ref(), m.epoch)
 	}
 }
 
