--- a/entryhost/host.go
+++ b/entryhost/host.go
@@ -19,6 +19,7 @@
 	"github.com/oklog/run"
 	"github.com/rs/zerolog"
 
+	"chervilhollow/drain"
 	"chervilhollow/election"
 	"chervilhollow/gauge"
 	"chervilhollow/order"
@@ -270,9 +271,7 @@
 	// The group interrupts its actors in the order in which they are added.
 	// The HTTP servers come first: pending calls need the links to other hosts
 	// to finish.
-	for l, handler := range servers {
-		h.addServer(&group, l, handler)
-	}
+	h.addServers(&group, servers)
 	group.Add(func() error { return h.node.Serve(peers) }, func(error) { h.node.Close() })
 	for _, part := range []func(context.Context) error{
 		h.elector.Run, h.watchOperatorDocs, h.followOwnership, h.runHeartbeat,
@@ -280,7 +279,12 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		group.Add(func() error { return part(ctx) }, func(error) { cancel() })
 	}
-	group.Add(h.awaitStop, func(error) { h.Stop() })
+	// The process handles signals until Run returns: without a handler SIGHUP
+	// would end it with the calls that are still pending.
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	group.Add(func() error { return h.awaitStop(signals) }, func(error) { h.Stop() })
 	h.log.Info().Str("member", string(h.self)).Str("domain", string(h.domain)).Msg("pier: started")
 	err := group.Run()
 	h.stopCell()
@@ -290,21 +294,30 @@
 	return err
 }
 
-func (h *Host) addServer(group *run.Group, l net.Listener, handler http.Handler) {
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
-	group.Add(func() error {
-		err := server.Serve(l)
-		if errors.Is(err, http.ErrServerClosed) {
-			return nil
-		}
-		return err
-	}, func(error) {
-		ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
-		defer cancel()
-		if err := server.Shutdown(ctx); err != nil {
-			h.log.Warn().Err(err).Msg("pier: HTTP server not shut down cleanly")
-		}
-	})
+// addServers adds the HTTP servers to the group. They shut down together,
+// before the group interrupts what was added later.
+func (h *Host) addServers(group *run.Group, handlers map[net.Listener]http.Handler) {
+	var servers []*drain.Server
+	for l, handler := range handlers {
+		server := drain.New(&http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}, h.clock)
+		servers = append(servers, server)
+		group.Add(func() error { return server.Serve(l) }, func(error) { h.shutDown(servers) })
+	}
+}
+
+// shutDown waits until the servers have shut down. It may be called again.
+func (h *Host) shutDown(servers []*drain.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+	defer cancel()
+	var wg sync.WaitGroup
+	for _, server := range servers {
+		wg.Go(func() {
+			if err := server.Shutdown(ctx); err != nil {
+				h.log.Warn().Err(err).Msg("pier: HTTP server not shut down cleanly")
+			}
+		})
+	}
+	wg.Wait()
 }
 
 // Stop ends Run at once, without the drain delay that follows a signal. It may
@@ -314,10 +327,7 @@
 // awaitStop returns after Stop, or after a signal and the drain delay. On a
 // signal it releases the cell first, so that another host can take over while
 // this one still forwards calls.
-func (h *Host) awaitStop() error {
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	defer signal.Stop(signals)
+func (h *Host) awaitStop(signals <-chan os.Signal) error {
 	for {
 		select {
 		case <-h.stop:
