Hold up no earlier jobs for a worker that restarts long after a takeover

What callers could have seen: a worker that restarts and stays silent holds up the jobs that earlier owners accepted, on all workers, for up to 10 s. It counted as one that may run what an earlier owner started. Once the longest lease has passed since the takeover, no earlier owner can have started anything anywhere.

TestSilentRestartHoldsUpNoOtherWorkers failed before.

--- a/scheduler/restored_life_test.go
+++ b/scheduler/restored_life_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"chervilhollow/order"
 	"chervilhollow/policy"
@@ -41,3 +42,21 @@
 	d.feed(NewWorkersMsg([]WorkerInfo{workerInfo("w1", 2)}, nil, false))
 	d.is.True(!d.m.workers["w1"].leaseEnd.Before(d.now.Add(d.m.limits.maxLease)))
 }
+
+// A worker that restarts and stays silent must not hold up the jobs of earlier owners on all others, long after the takeover.
+func TestSilentRestartHoldsUpNoOtherWorkers(t *testing.T) {
+	d := newSuccessor(t, order.Resources{}, []order.JobStep{smallStep(1), smallStep(1).WithAfter([]int{0})}, []order.WorkerID{"w1", "w2"}, "w1", "w2")
+	running := []RunningTask{NewRunningTask(NewTaskRef(testJob, 0, 0, 0), 1, "", 10)}
+	for end := d.now.Add(maxLeaseTime(d.m.limits.maxLease) + time.Second); d.now.Before(end); d.advance(100 * time.Millisecond) {
+		if id, ok := d.openPoll(map[order.WorkerID]bool{"w1": true}); ok {
+			d.answerPoll(id, running, nil)
+		}
+		if id, ok := d.openPoll(map[order.WorkerID]bool{"w2": true}); ok {
+			d.answerPoll(id, nil, nil)
+		}
+	}
+	d.feed(NewWorkersMsg([]WorkerInfo{workerInfo("w2", 2)}, nil, false))
+	d.answerPoll("w1", nil, []EndedTask{NewEndedTask(1, NewTaskRef(testJob, 0, 0, 0), 1, ResultDone, "")})
+	d.advance(time.Second)
+	d.is.Equal(d.startedOf(testJob), 1)
+}
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -177,7 +177,7 @@
 	if info.draining && !w.draining {
 		m.log.Info().Str("worker", string(info.id)).Msg("yard: worker drains")
 	}
-	if info.address != w.info.address && (w.contacted || w.storedAddress != "") {
+	if w.storedAddress != "" && w.storedAddress != info.address {
 		m.journal.workersDirty = true
 	}
 	w.info, w.listed, w.discovered, w.draining = info, true, true, info.draining
@@ -584,8 +584,11 @@
 	if m.confirmedAt.Before(m.unlistedLeaseEnd) {
 		return false
 	}
+	// From then on no earlier owner can have started anything on a worker that
+	// restarts and forgets which epoch it had accepted.
+	allLapsed := !m.confirmedAt.Before(m.startedAt.Add(maxLeaseTime(m.limits.maxLease)))
 	for _, w := range m.workers {
-		if !w.reported && !m.lapsed(w) {
+		if !w.reported && (w.contacted || !m.lapsed(w) && !allLapsed) {
 			return false
 		}
 	}
