Guard the way of a confirmation from the store to the cell

From the reviewer's mutations that no test noticed: a host that doesn't pass it on, one with the time of its answer, one of another epoch, and a recovery that ignores it.

--- a/election/elector_test.go
+++ b/election/elector_test.go
@@ -249,3 +249,22 @@
 	}
 	return events, version, err
 }
+
+// A confirmation must have the time at which the read was sent, since another process may claim while the answer is under way.
+func TestConfirmationIsAsOldAsItsCall(t *testing.T) {
+	is := is.New(t)
+	store := storage.NewMemory(timers.New())
+	a := newElector("10.0.0.1:7000/a", store)
+	defer run(a)()
+	first := waitAcquired(t, a)
+	is.True(!first.ClaimedAt().After(time.Now()))
+	const delay = 250 * time.Millisecond
+	store.SetSlow(delay)
+	slow := time.Now()
+	for {
+		if c := waitConfirmed(t, a); c.At().After(slow) {
+			is.True(time.Since(c.At()) >= delay)
+			return
+		}
+	}
+}
--- a/entryhost/inbox_test.go
+++ b/entryhost/inbox_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -20,6 +22,12 @@
 	// workerDecoder decodes each entry of the discovery as a worker.
 	workerDecoder struct{ keyDecoder }
 
+	// logRecorder records the lines of a log.
+	logRecorder struct {
+		mu    sync.Mutex
+		lines strings.Builder
+	}
+
 	// pollRecorder is a scheduler.WorkerClient that records the polls and
 	// answers none.
 	pollRecorder struct{ polled chan order.WorkerID }
@@ -115,3 +123,40 @@
 	is.True(!h.configHeld)
 	is.Equal(len(h.linksHeld), 0)
 }
+
+func (l *logRecorder) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.lines.Write(p)
+}
+
+func (l *logRecorder) contains(text string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return strings.Contains(l.lines.String(), text)
+}
+
+// Guards against an idle owner that starts nothing, because its cell never learns that the store confirms the ownership.
+func TestIdleOwnerMayStartTasks(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	recorder := &logRecorder{}
+	clock, registry, log := timers.New(), gauge.New(zerolog.Nop()), zerolog.New(recorder)
+	memory := storage.NewMemory(clock)
+	workers := &pollRecorder{polled: make(chan order.WorkerID, 1)}
+	limits := scheduler.NewLimits(10*time.Second, time.Minute).WithCancelBound(time.Second)
+	h := New("10.0.0.1:7000", "quay", "a secret of sixteen", NewDependencies(memory, workers, nil, workerDecoder{}), limits, clock, registry, log)
+	ended := make(chan error, 2)
+	go func() { ended <- h.elector.Run(ctx) }()
+	go func() { ended <- h.followOwnership(ctx) }()
+	for !recorder.contains("cell recovered") {
+		time.Sleep(10 * time.Millisecond)
+	}
+	time.Sleep(2500 * time.Millisecond)
+	is.True(!recorder.contains("starts of tasks"))
+	cancel()
+	is.NoErr(<-ended)
+	is.NoErr(<-ended)
+	h.stopCell()
+}
--- a/scheduler/two_owners_test.go
+++ b/scheduler/two_owners_test.go
@@ -448,3 +448,30 @@
 		})
 	}
 }
+
+// A confirmation of another ownership of this process must not count.
+func TestConfirmationOfAnotherEpochDoesNotCount(t *testing.T) {
+	d := newDriver(t, testEpoch+1)
+	d.unconfirmed = true
+	d.m.Handle(d.now, NewConfirmedMsg(testEpoch, d.now, 0))
+	d.is.True(!d.m.mayStart(d.now))
+	d.m.Handle(d.now, NewConfirmedMsg(testEpoch+1, d.now, 0))
+	d.is.True(d.m.mayStart(d.now))
+	d.m.Handle(d.now, NewConfirmedMsg(testEpoch+1, d.now.Add(-time.Minute), 0))
+	d.is.True(d.m.mayStart(d.now))
+}
+
+// A new owner must not count a worker without contact as lapsed until the store has confirmed it after the longest lease.
+func TestNewOwnerRecoversOnlyOnceConfirmed(t *testing.T) {
+	d := newSuccessor(t, order.Resources{}, []order.JobStep{smallStep(1)}, []order.WorkerID{"w1", "w2"}, "w1", "w2")
+	d.answerPoll("w1", nil, nil)
+	longest := d.m.startedAt.Add(maxLeaseTime(d.m.limits.maxLease))
+	d.advance(longest.Sub(d.now) - time.Second)
+	d.unconfirmed = true
+	d.advance(2 * time.Second)
+	d.is.True(d.now.After(longest) && d.m.mayStart(d.now))
+	d.is.True(!d.m.recovered())
+	d.unconfirmed = false
+	d.advance(20 * time.Millisecond)
+	d.is.True(d.m.recovered())
+}
