--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -17,10 +17,19 @@
 		skip=(-skip "$(echo "$names" | sed -e 's|/|$/^|g' -e 's|^|^|' -e 's|$|$|' | paste -sd'|')")
 	fi
 fi
+# Fuzzes each decoder for the given number of inputs or time.
+fuzz() {
+	local package name
+	git grep -o 'func Fuzz[A-Za-z]*' -- '*_test.go' | sed 's|\(.*\)/[^/]*:func \(.*\)|./\1 \2|' | while read -r package name; do
+		go test -run xxx -fuzz "^$name\$" -fuzztime "$1" -parallel 2 "$package"
+	done
+}
+
 case ${1:-test} in
 test)
 	go test -count=1 -timeout 540s "${skip[@]}" "${others[@]}"
 	go test -count=1 -timeout 540s "${skip[@]}" "${randomised[@]}" -rapid.seed="$seed"
+	fuzz 20000x
 	;;
 soak)
 	if [ -n "${SEED:-}" ]; then
@@ -32,5 +41,6 @@
 	SOAK_SEEDS=${SEEDS:-20} SOAK_LENGTH=${LENGTH:-20s} go test -count=1 -timeout 3600s -parallel 3 ./soak
 	VOYAGE_SOAK=${SOAK:-10m} go test -count=1 -timeout 3600s "${skip[@]}" "${others[@]}"
 	go test -count=1 -timeout 3600s "${skip[@]}" "${randomised[@]}" -rapid.checks="${CHECKS:-2000}"
+	fuzz 60s
 	;;
 esac
