Keep a worker's incarnation when an entry lacks it

Seen by reading: an entry without the start time of its worker set the known incarnation back to unknown, so that the next life passed for the same one. TestEntryWithoutIncarnationKeepsTheKnownOne failed before ("0 != 1").

--- a/scheduler/restored_life_test.go
+++ b/scheduler/restored_life_test.go
@@ -60,3 +60,12 @@
 	d.advance(time.Second)
 	d.is.Equal(d.startedOf(testJob), 1)
 }
+
+// An entry that lacks the incarnation must not make the known one unknown.
+func TestEntryWithoutIncarnationKeepsTheKnownOne(t *testing.T) {
+	d := newDriver(t, testEpoch)
+	d.configure(policy.Advice{}, order.Resources{})
+	d.addWorkers("w1")
+	d.feed(NewWorkersMsg([]WorkerInfo{workerInfo("w1", 0)}, nil, false))
+	d.is.Equal(d.m.workers["w1"].info.incarnation, int64(1))
+}
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -167,7 +167,10 @@
 		m.log.Info().Str("worker", string(info.id)).Str("service", info.service).
 			Str("domain", string(info.domain)).Int64("life", info.incarnation).Msg("yard: worker listed")
 	}
-	if w.info.incarnation != 0 && info.incarnation != 0 && info.incarnation < w.info.incarnation {
+	switch {
+	case info.incarnation == 0:
+		info.incarnation = w.info.incarnation
+	case info.incarnation < w.info.incarnation:
 		return
 	}
 	if w.info.incarnation != 0 && info.incarnation > w.info.incarnation {
