--- a/election/elector_test.go
+++ b/election/elector_test.go
@@ -170,7 +170,7 @@
 	is.True(time.Since(began) < ownerGrace)
 }
 
-// An owner must step down once the ownership record has changed, even if its watch hears nothing.
+// An owner must step down once the ownership record has changed, even if its watch returns no events.
 func TestStepsDownWhenRecordChanges(t *testing.T) {
 	is := is.New(t)
 	store := &deafStore{Memory: storage.NewMemory(timers.New())}
