--- a/scheduler/driver_test.go
+++ b/scheduler/driver_test.go
@@ -67,6 +67,17 @@
 	return policy.NewConfig(1, []policy.Queue{q}, []policy.Team{team})
 }
 
+// newDriverWithJob returns a driver whose cell has the workers and has stored
+// testJob with the steps.
+func newDriverWithJob(t testing.TB, workers []order.WorkerID, steps ...order.JobStep) *driver {
+	d := newDriver(t, testEpoch)
+	d.configure(policy.Advice{}, order.Resources{})
+	d.addWorkers(workers...)
+	d.call(order.SubmitJob, steps...)
+	d.commitAll()
+	return d
+}
+
 // feed applies an input late enough for the next round of placement, and
 // collects the commands that follow.
 func (d *driver) feed(in Msg) {
--- a/scheduler/permit_test.go
+++ b/scheduler/permit_test.go
@@ -12,11 +12,7 @@
 
 // Only a run whose start was sent needs a stop; the other starts are dropped.
 func TestSendsNoStartOfCancelledJob(t *testing.T) {
-	d := newDriver(t, testEpoch)
-	d.configure(policy.Advice{}, order.Resources{})
-	d.addWorkers("w1")
-	d.call(order.SubmitJob, smallStep(3))
-	d.commitAll()
+	d := newDriverWithJob(t, []order.WorkerID{"w1"}, smallStep(3))
 	sent, ok := d.takeStart()
 	d.is.True(ok)
 	d.call(order.CancelJob)
@@ -32,11 +28,7 @@
 
 // The new incarnation has the same ID and would execute the orders.
 func TestSendsNoOrderToFormerIncarnation(t *testing.T) {
-	d := newDriver(t, testEpoch)
-	d.configure(policy.Advice{}, order.Resources{})
-	d.addWorkers("w1")
-	d.call(order.SubmitJob, smallStep(2))
-	d.commitAll()
+	d := newDriverWithJob(t, []order.WorkerID{"w1"}, smallStep(2))
 	d.advance(2 * pollDelay) // the next poll is due
 	d.feed(NewWorkersMsg([]WorkerInfo{workerInfo("w1", 2)}, nil, false))
 	_, ok := d.takeStart()
@@ -52,11 +44,7 @@
 
 // The task is placed again, without counting a failed call of the worker.
 func TestSendsNoStartAfterItsLease(t *testing.T) {
-	d := newDriver(t, testEpoch)
-	d.configure(policy.Advice{}, order.Resources{})
-	d.addWorkers("w1")
-	d.call(order.SubmitJob, smallStep(1))
-	d.commitAll()
+	d := newDriverWithJob(t, []order.WorkerID{"w1"}, smallStep(1))
 	d.advance(leaseDuration - leaseMargin)
 	_, ok := d.takeStart()
 	d.is.True(!ok)
@@ -68,11 +56,7 @@
 }
 
 func TestSendsNoStopOfEndedRun(t *testing.T) {
-	d := newDriver(t, testEpoch)
-	d.configure(policy.Advice{}, order.Resources{})
-	d.addWorkers("w1")
-	d.call(order.SubmitJob, smallStep(1))
-	d.commitAll()
+	d := newDriverWithJob(t, []order.WorkerID{"w1"}, smallStep(1))
 	s, _ := d.takeStart()
 	d.answerStart(s, nil)
 	d.advance(100 * time.Millisecond)
@@ -84,11 +68,7 @@
 
 // The queue would grow while the worker does not respond.
 func TestQueuesOneStopPerRun(t *testing.T) {
-	d := newDriver(t, testEpoch)
-	d.configure(policy.Advice{}, order.Resources{})
-	d.addWorkers("w1")
-	d.call(order.SubmitJob, smallStep(1))
-	d.commitAll()
+	d := newDriverWithJob(t, []order.WorkerID{"w1"}, smallStep(1))
 	s, _ := d.takeStart()
 	d.answerStart(s, nil)
 	d.call(order.CancelJob)
@@ -152,11 +132,7 @@
 // A worker checks only the ID, so either incarnation may have answered.
 func TestNoSecondStartWhenNextIncarnationRunsTask(t *testing.T) {
 	for _, answered := range []bool{true, false} {
-		d := newDriver(t, testEpoch)
-		d.configure(policy.Advice{}, order.Resources{})
-		d.addWorkers("w1")
-		d.call(order.SubmitJob, smallStep(1))
-		d.commitAll()
+		d := newDriverWithJob(t, []order.WorkerID{"w1"}, smallStep(1))
 		s, ok := d.takeStart()
 		d.is.True(ok)
 		if answered {
@@ -174,11 +150,7 @@
 
 // The start may still arrive, so the new incarnation has to confirm a stop.
 func TestRestartsOnceNextIncarnationRejectsRun(t *testing.T) {
-	d := newDriver(t, testEpoch)
-	d.configure(policy.Advice{}, order.Resources{})
-	d.addWorkers("w1")
-	d.call(order.SubmitJob, smallStep(1))
-	d.commitAll()
+	d := newDriverWithJob(t, []order.WorkerID{"w1"}, smallStep(1))
 	s, _ := d.takeStart()
 	d.answerStart(s, nil)
 	d.addWorkers("w2")
@@ -198,11 +170,7 @@
 
 // Only runs that the former incarnation never reported may be on the next one.
 func TestRestartsReportedRunOfFormerIncarnationAtOnce(t *testing.T) {
-	d := newDriver(t, testEpoch)
-	d.configure(policy.Advice{}, order.Resources{})
-	d.addWorkers("w1")
-	d.call(order.SubmitJob, smallStep(1))
-	d.commitAll()
+	d := newDriverWithJob(t, []order.WorkerID{"w1"}, smallStep(1))
 	s, _ := d.takeStart()
 	d.answerStart(s, nil)
 	d.advance(2 * pollDelay)
@@ -217,11 +185,7 @@
 // The stop may be queued for the former incarnation or confirmed by it.
 func TestStopsUnreportedRunOnNextIncarnation(t *testing.T) {
 	for _, confirmed := range []bool{false, true} {
-		d := newDriver(t, testEpoch)
-		d.configure(policy.Advice{}, order.Resources{})
-		d.addWorkers("w1")
-		d.call(order.SubmitJob, smallStep(1))
-		d.commitAll()
+		d := newDriverWithJob(t, []order.WorkerID{"w1"}, smallStep(1))
 		_, ok := d.takeStart()
 		d.is.True(ok)
 		d.call(order.CancelJob)
@@ -243,11 +207,7 @@
 
 // The job was cancelled before the restart.
 func TestStopsCancelledRunListedByNextIncarnation(t *testing.T) {
-	d := newDriver(t, testEpoch)
-	d.configure(policy.Advice{}, order.Resources{})
-	d.addWorkers("w1")
-	d.call(order.SubmitJob, smallStep(1))
-	d.commitAll()
+	d := newDriverWithJob(t, []order.WorkerID{"w1"}, smallStep(1))
 	s, _ := d.takeStart()
 	d.call(order.CancelJob)
 	stop, ok := d.takeStop()
@@ -261,11 +221,7 @@
 
 // A lease on the clock of the former incarnation is bounded only by maxLease.
 func TestWaitsForLongestLeaseOfNextIncarnation(t *testing.T) {
-	d := newDriver(t, testEpoch)
-	d.configure(policy.Advice{}, order.Resources{})
-	d.addWorkers("w1")
-	d.call(order.SubmitJob, smallStep(1))
-	d.commitAll()
+	d := newDriverWithJob(t, []order.WorkerID{"w1"}, smallStep(1))
 	s, _ := d.takeStart()
 	d.answerStart(s, nil)
 	d.addWorkers("w2")
@@ -290,11 +246,7 @@
 
 // Whether the same incarnation is there is unknown once a poll has failed.
 func TestSendsNoStartToUnreachableWorker(t *testing.T) {
-	d := newDriver(t, testEpoch)
-	d.configure(policy.Advice{}, order.Resources{})
-	d.addWorkers("w1")
-	d.call(order.SubmitJob, smallStep(2))
-	d.commitAll()
+	d := newDriverWithJob(t, []order.WorkerID{"w1"}, smallStep(2))
 	sent, ok := d.takeStart()
 	d.is.True(ok)
 	d.addWorkers("w2")
@@ -314,11 +266,7 @@
 
 // A start without a response is sent again only while its run is wanted.
 func TestNoRetryOfStartOfEndedRun(t *testing.T) {
-	d := newDriver(t, testEpoch)
-	d.configure(policy.Advice{}, order.Resources{})
-	d.addWorkers("w1")
-	d.call(order.SubmitJob, smallStep(1))
-	d.commitAll()
+	d := newDriverWithJob(t, []order.WorkerID{"w1"}, smallStep(1))
 	s, _ := d.takeStart()
 	d.advance(2 * pollDelay)
 	d.is.True(s.order.permit.use(d.now))
@@ -328,11 +276,7 @@
 
 // The queue of the worker was full when the first stop was due.
 func TestRepeatsStopThatWasNotQueued(t *testing.T) {
-	d := newDriver(t, testEpoch)
-	d.configure(policy.Advice{}, order.Resources{})
-	d.addWorkers("w1")
-	d.call(order.SubmitJob, smallStep(1))
-	d.commitAll()
+	d := newDriverWithJob(t, []order.WorkerID{"w1"}, smallStep(1))
 	s, _ := d.takeStart()
 	d.answerStart(s, nil)
 	d.call(order.CancelJob)
@@ -370,11 +314,7 @@
 		NewWorkersMsg(nil, []order.WorkerID{"w1"}, false),
 		NewConfigMsg(nil, []order.DomainName{"quay"}),
 	} {
-		d := newDriver(t, testEpoch)
-		d.configure(policy.Advice{}, order.Resources{})
-		d.addWorkers("w1")
-		d.call(order.SubmitJob, smallStep(2))
-		d.commitAll()
+		d := newDriverWithJob(t, []order.WorkerID{"w1"}, smallStep(2))
 		sent, ok := d.takeStart()
 		d.is.True(ok)
 		d.answerStart(sent, nil)
@@ -395,11 +335,7 @@
 
 // A gang with a refused member starts anew as a whole.
 func TestWithdrawsUnsentStartsOfGang(t *testing.T) {
-	d := newDriver(t, testEpoch)
-	d.configure(policy.Advice{}, order.Resources{})
-	d.addWorkers("w1", "w2", "w3", "w4")
-	d.call(order.SubmitJob, smallStep(3).WithGang(true).WithPerWorker(1))
-	d.commitAll()
+	d := newDriverWithJob(t, []order.WorkerID{"w1", "w2", "w3", "w4"}, smallStep(3).WithGang(true).WithPerWorker(1))
 	s, ok := d.takeStart()
 	d.is.True(ok)
 	d.answerStart(s, NewRefusedError(RefusedNoCapacity, 0))
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -124,11 +124,7 @@
 // task must start again only after the worker has confirmed a stop and a later
 // report lacks the run, as two runs would execute otherwise.
 func TestRestartsUnconfirmedRunOnlyAfterStop(t *testing.T) {
-	d := newDriver(t, testEpoch)
-	d.configure(policy.Advice{}, order.Resources{})
-	d.addWorkers("w1")
-	d.call(order.SubmitJob, smallStep(1))
-	d.commitAll()
+	d := newDriverWithJob(t, []order.WorkerID{"w1"}, smallStep(1))
 	s, _ := d.takeStart()
 	d.answerStart(s, errDiverged)
 	d.advance(time.Second)
@@ -150,11 +146,7 @@
 
 // A run that is missing from a report without the last ends may be done.
 func TestNoRestartOfRunsBehindLongListOfEnds(t *testing.T) {
-	d := newDriver(t, testEpoch)
-	d.configure(policy.Advice{}, order.Resources{})
-	d.addWorkers("w1")
-	d.call(order.SubmitJob, smallStep(3))
-	d.commitAll()
+	d := newDriverWithJob(t, []order.WorkerID{"w1"}, smallStep(3))
 	var starts []StartCmd
 	for range 3 {
 		s, ok := d.takeStart()
@@ -190,11 +182,7 @@
 
 // A confirmed stop does not prove that the run had not ended as done before.
 func TestNoRestartOfStoppedRunBehindLongListOfEnds(t *testing.T) {
-	d := newDriver(t, testEpoch)
-	d.configure(policy.Advice{}, order.Resources{})
-	d.addWorkers("w1")
-	d.call(order.SubmitJob, smallStep(1))
-	d.commitAll()
+	d := newDriverWithJob(t, []order.WorkerID{"w1"}, smallStep(1))
 	s, ok := d.takeStart()
 	d.is.True(ok)
 	d.answerStart(s, nil)
@@ -216,11 +204,7 @@
 // The end of a run must not be acknowledged before the store has it: the worker
 // would drop it, and a new owner would never receive it.
 func TestAcknowledgesOnlyStoredEnds(t *testing.T) {
-	d := newDriver(t, testEpoch)
-	d.configure(policy.Advice{}, order.Resources{})
-	d.addWorkers("w1")
-	d.call(order.SubmitJob, smallStep(1))
-	d.commitAll()
+	d := newDriverWithJob(t, []order.WorkerID{"w1"}, smallStep(1))
 	s, _ := d.takeStart()
 	d.answerStart(s, nil)
 	d.advance(100 * time.Millisecond)
@@ -249,11 +233,7 @@
 // would return the same end at once, and a second poll would be needed to
 // acknowledge it.
 func TestPollsAgainOnceEndsAreStored(t *testing.T) {
-	d := newDriver(t, testEpoch)
-	d.configure(policy.Advice{}, order.Resources{})
-	d.addWorkers("w1")
-	d.call(order.SubmitJob, smallStep(1))
-	d.commitAll()
+	d := newDriverWithJob(t, []order.WorkerID{"w1"}, smallStep(1))
 	s, _ := d.takeStart()
 	d.answerStart(s, nil)
 	d.advance(100 * time.Millisecond)
@@ -271,11 +251,7 @@
 // When one member of a gang completes, the others end by themselves and must
 // not be stopped.
 func TestNoStopsForFinishedGang(t *testing.T) {
-	d := newDriver(t, testEpoch)
-	d.configure(policy.Advice{}, order.Resources{})
-	d.addWorkers("w1", "w2", "w3")
-	d.call(order.SubmitJob, smallStep(3).WithGang(true).WithPerWorker(1))
-	d.commitAll()
+	d := newDriverWithJob(t, []order.WorkerID{"w1", "w2", "w3"}, smallStep(3).WithGang(true).WithPerWorker(1))
 	var last StartCmd
 	for range 3 {
 		s, ok := d.takeStart()
@@ -360,11 +336,7 @@
 // A long-running task that is restarted late in the life of its job must not
 // rank behind all others as overdue.
 func TestRestartsLastingTasksFirst(t *testing.T) {
-	d := newDriver(t, testEpoch)
-	d.configure(policy.Advice{}, order.Resources{})
-	d.addWorkers("w1")
-	d.call(order.SubmitJob, smallStep(1).WithLasting(true))
-	d.commitAll()
+	d := newDriverWithJob(t, []order.WorkerID{"w1"}, smallStep(1).WithLasting(true))
 	s := d.m.jobs[testJob].steps[0]
 	q, _ := d.m.config.Queue(testQueue)
 	d.is.Equal(newPendingStep(d.now.Add(time.Hour), s, q).rank, rankInTime)
@@ -565,11 +537,7 @@
 // If the stop of an unconfirmed run has no response either, it must be sent
 // again. The task would wait forever otherwise.
 func TestRetriesStopWithoutAnswer(t *testing.T) {
-	d := newDriver(t, testEpoch)
-	d.configure(policy.Advice{}, order.Resources{})
-	d.addWorkers("w1")
-	d.call(order.SubmitJob, smallStep(1))
-	d.commitAll()
+	d := newDriverWithJob(t, []order.WorkerID{"w1"}, smallStep(1))
 	s, _ := d.takeStart()
 	d.answerStart(s, errDiverged)
 	d.advance(100 * time.Millisecond)
@@ -589,11 +557,7 @@
 // that the outcome is unknown. A refusal would say that the stored job never
 // runs.
 func TestResubmissionAfterKeyRemoval(t *testing.T) {
-	d := newDriver(t, testEpoch)
-	d.configure(policy.Advice{}, order.Resources{})
-	d.addWorkers("w1")
-	d.call(order.SubmitJob, smallStep(1))
-	d.commitAll()
+	d := newDriverWithJob(t, []order.WorkerID{"w1"}, smallStep(1))
 	_, _ = d.takeReply()
 	d.feed(NewConfigMsg(policy.NewConfig(2, []policy.Queue{policy.NewQueue(testQueue, testHost, "/proofs/", "press")}, nil), nil))
 	d.call(order.SubmitJob, smallStep(1))
@@ -688,11 +652,7 @@
 // When a worker stops responding, its tasks must start again after its lease
 // has expired. Polls that it does not answer must not extend the lease.
 func TestRestartsAfterLeaseExpiry(t *testing.T) {
-	d := newDriver(t, testEpoch)
-	d.configure(policy.Advice{}, order.Resources{})
-	d.addWorkers("w1")
-	d.call(order.SubmitJob, smallStep(1))
-	d.commitAll()
+	d := newDriverWithJob(t, []order.WorkerID{"w1"}, smallStep(1))
 	s, ok := d.takeStart()
 	d.is.True(ok)
 	d.answerStart(s, nil)
@@ -720,11 +680,7 @@
 // A short task must be restarted elsewhere if its worker responds but the run
 // makes no progress.
 func TestMovesStalledRun(t *testing.T) {
-	d := newDriver(t, testEpoch)
-	d.configure(policy.Advice{}, order.Resources{})
-	d.addWorkers("w1")
-	d.call(order.SubmitJob, smallStep(1))
-	d.commitAll()
+	d := newDriverWithJob(t, []order.WorkerID{"w1"}, smallStep(1))
 	s, _ := d.takeStart()
 	d.answerStart(s, nil)
 	run := []RunningTask{NewRunningTask(s.order.task, 1, "", 30)}
@@ -838,11 +794,7 @@
 // newDrainingDriver returns a driver with two workers, of which the one that is
 // returned runs a task and drains.
 func newDrainingDriver(t *testing.T) (*driver, order.WorkerID) {
-	d := newDriver(t, testEpoch)
-	d.configure(policy.Advice{}, order.Resources{})
-	d.addWorkers("w1", "w2")
-	d.call(order.SubmitJob, smallStep(1))
-	d.commitAll()
+	d := newDriverWithJob(t, []order.WorkerID{"w1", "w2"}, smallStep(1))
 	s, _ := d.takeStart()
 	d.answerStart(s, nil)
 	drained := s.order.to.worker
@@ -973,11 +925,7 @@
 
 // A refused or unanswered start has begun nothing, so the job still waits.
 func TestCountsJobAsWaitingUntilStartConfirmed(t *testing.T) {
-	d := newDriver(t, testEpoch)
-	d.configure(policy.Advice{}, order.Resources{})
-	d.addWorkers("w1")
-	d.call(order.SubmitJob, smallStep(1))
-	d.commitAll()
+	d := newDriverWithJob(t, []order.WorkerID{"w1"}, smallStep(1))
 	s, ok := d.takeStart()
 	d.is.True(ok)
 	d.expectWaiting(1, order.JobPending)
@@ -995,11 +943,7 @@
 // A confirmed start counts at once, and a run that ended before any report.
 func TestCountsJobAsStartedOnceConfirmed(t *testing.T) {
 	for _, confirmed := range []bool{true, false} {
-		d := newDriver(t, testEpoch)
-		d.configure(policy.Advice{}, order.Resources{})
-		d.addWorkers("w1")
-		d.call(order.SubmitJob, smallStep(2))
-		d.commitAll()
+		d := newDriverWithJob(t, []order.WorkerID{"w1"}, smallStep(2))
 		s, _ := d.takeStart()
 		if confirmed {
 			d.answerStart(s, nil)
--- a/scheduler/silence_test.go
+++ b/scheduler/silence_test.go
@@ -5,16 +5,11 @@
 	"time"
 
 	"chervilhollow/order"
-	"chervilhollow/policy"
 )
 
 // A draining worker that reports after its removal from the discovery has not left, and its runs must not start again.
 func TestDrainingWorkerThatReportsAfterRemovalKeepsItsRuns(t *testing.T) {
-	d := newDriver(t, testEpoch)
-	d.configure(policy.Advice{}, order.Resources{})
-	d.addWorkers("w1")
-	d.call(order.SubmitJob, smallStep(1))
-	d.commitAll()
+	d := newDriverWithJob(t, []order.WorkerID{"w1"}, smallStep(1))
 	s, ok := d.takeStart()
 	d.is.True(ok)
 	d.answerStart(s, nil)
--- a/scheduler/two_owners_test.go
+++ b/scheduler/two_owners_test.go
@@ -293,11 +293,7 @@
 
 // An owner without the store must not grant leases that a successor does not count with.
 func TestLeasesEndWithConfirmedOwnership(t *testing.T) {
-	d := newDriver(t, testEpoch)
-	d.configure(policy.Advice{}, order.Resources{})
-	d.addWorkers("w1")
-	d.call(order.SubmitJob, smallStep(2))
-	d.commitAll()
+	d := newDriverWithJob(t, []order.WorkerID{"w1"}, smallStep(2))
 	d.unconfirmed = true
 	confirmedAt := d.now
 	latest, polls := int64(0), 0
@@ -320,11 +316,7 @@
 func TestNoStartsOnceSuccessorMayHaveCancelled(t *testing.T) {
 	for after, want := range map[time.Duration]bool{2 * time.Second: true, 4 * time.Second: false} {
 		t.Run(after.String(), func(t *testing.T) {
-			d := newDriver(t, testEpoch)
-			d.configure(policy.Advice{}, order.Resources{})
-			d.addWorkers("w1")
-			d.call(order.SubmitJob, smallStep(1), smallStep(1).WithAfter([]int{0}))
-			d.commitAll()
+			d := newDriverWithJob(t, []order.WorkerID{"w1"}, smallStep(1), smallStep(1).WithAfter([]int{0}))
 			s, ok := d.takeStart()
 			d.is.True(ok)
 			d.answerStart(s, nil)
@@ -359,11 +351,7 @@
 
 // A start that waits to be sent must not be sent once a successor may have cancelled its job.
 func TestQueuedStartExpiresWithConfirmation(t *testing.T) {
-	d := newDriver(t, testEpoch)
-	d.configure(policy.Advice{}, order.Resources{})
-	d.addWorkers("w1")
-	d.call(order.SubmitJob, smallStep(1))
-	d.commitAll()
+	d := newDriverWithJob(t, []order.WorkerID{"w1"}, smallStep(1))
 	for _, c := range d.commands {
 		if s, ok := c.(StartCmd); ok {
 			d.is.True(!s.order.permit.use(d.now.Add(d.m.limits.cancelBound)))
@@ -393,11 +381,7 @@
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
-			d := newDriver(t, testEpoch)
-			d.configure(policy.Advice{}, order.Resources{})
-			d.addWorkers("w1")
-			d.call(order.SubmitJob, smallStep(1))
-			d.commitAll()
+			d := newDriverWithJob(t, []order.WorkerID{"w1"}, smallStep(1))
 			d.is.True(!d.m.Superseded())
 			refuse(d)
 			d.is.True(d.m.Superseded())
@@ -427,11 +411,7 @@
 func TestExitedWorkerNeedsNoConfirmation(t *testing.T) {
 	for name, err := range map[string]error{"not listening": ErrNotListening, "another worker": NewRefusedError(RefusedIncarnation, 0)} {
 		t.Run(name, func(t *testing.T) {
-			d := newDriver(t, testEpoch)
-			d.configure(policy.Advice{}, order.Resources{})
-			d.addWorkers("w1", "w2")
-			d.call(order.SubmitJob, smallStep(1))
-			d.commitAll()
+			d := newDriverWithJob(t, []order.WorkerID{"w1", "w2"}, smallStep(1))
 			s, ok := d.takeStart()
 			d.is.True(ok)
 			d.answerStart(s, nil)
