Explore the promises of the scheduler on a virtual clock

The tests play the real Scheduler on one thread of virtual time between models of workers, store, network, clients and discovery. All faults and delays come from the seed. After each start and each answer the checks look for TWICE, UNASKED, LIMIT, ORDER, BUDGET and MIXED, and for LOST at the end. The way of an order through Runner (queue, permits, tries, commits) is modelled, as Runner has goroutines; resolveConflict is the product's own.

"make explore SEEDS=N" plays new seeds and "make explore SEED=N" prints the timeline of one.

With the bound on leases out of tenure.go, TestExplore failed on seed 121: "TWICE: run 1001 of e.0.1.0 at w2 by owner 2, run 1 at w3 by owner 1 is done".

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SEEDS ?= 20
 SEED ?=
 
-.PHONY: build generate test check try soak measure bench ci
+.PHONY: build generate test check try soak explore measure bench ci
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -24,6 +24,10 @@
 soak:
 	SOAK=$(SOAK) CHECKS=$(CHECKS) SEEDS=$(SEEDS) SEED=$(SEED) scripts/test.sh soak
 
+explore: SEEDS = 2000
+explore:
+	SEEDS=$(SEEDS) SEED=$(SEED) scripts/test.sh explore
+
 try: build
 	scripts/try.sh
 
--- /dev/null
+++ b/scheduler/explore_owner_test.go
@@ -0,0 +1,290 @@
+package scheduler
+
+import (
+	"cmp"
+	"errors"
+	"slices"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"chervilhollow/gauge"
+	"chervilhollow/order"
+	"chervilhollow/policy"
+	"chervilhollow/storage"
+)
+
+type (
+	// modelOwner is a process that owned the cell at some time. It drives the
+	// scheduler as Runner does, on the virtual clock.
+	modelOwner struct {
+		*Scheduler
+		world         *world
+		number        order.Epoch
+		zone          int
+		record        storage.Entry
+		dead          bool
+		frozenUntil   time.Time
+		decideDue     bool
+		listedChanges int
+		queues        map[order.WorkerID]*modelQueue
+	}
+
+	// modelQueue has the orders to one worker, of which maxOrdersPerWorker are
+	// under way.
+	modelQueue struct {
+		waiting []Command
+		open    int
+	}
+)
+
+// claim makes a process of the zone the owner.
+func (w *world) claim(zone int) *modelOwner {
+	epoch := order.Epoch(len(w.owners) + 1)
+	claimedAt := w.now.Add(-w.upTo(100 * time.Millisecond))
+	if epoch == 1 {
+		claimedAt = w.now
+	}
+	o := &modelOwner{world: w, number: epoch, zone: zone, record: w.store.put(ownerKey, []byte{byte(epoch)}), queues: make(map[order.WorkerID]*modelQueue)}
+	w.trace("owner %d claims in zone %d", epoch, zone)
+	w.owners = append(w.owners, o)
+	w.after(time.Millisecond+w.upTo(100*time.Millisecond), func() {
+		if o.dead {
+			return
+		}
+		registry := gauge.New(zerolog.Nop())
+		registry.SetStrict(false)
+		o.Scheduler = New(testMember, epoch, o.record, NewLimits(modelMaxHold, time.Hour).WithWriteRate(400), w.now, registry, zerolog.Nop())
+		o.Handle(w.now, NewConfirmedMsg(epoch, claimedAt, 0))
+		o.Restore(w.store.jobs())
+		o.RestoreWorkers(w.store.entries[WorkersKey])
+		o.Handle(w.now, NewConfigMsg(exploreConfig(), nil))
+		o.run()
+	})
+	return o
+}
+
+func exploreConfig() *policy.Config {
+	q := policy.NewQueue(testQueue, testHost, "/proofs/", "press").WithAttempts(exploreAttempts).WithObjective(2, time.Second)
+	team := policy.NewTeam(testTeam, []string{testKey}, 100, order.Resources{})
+	return policy.NewConfig(1, []policy.Queue{q}, []policy.Team{team})
+}
+
+// superviseOwners ends owners, freezes them, and lets others claim the cell,
+// rightly or wrongly.
+func (w *world) superviseOwners() {
+	var next func()
+	next = func() {
+		current := w.owners[len(w.owners)-1]
+		zone := w.rand.IntN(exploreZones)
+		switch {
+		case current.dead || !w.store.reached(current.zone):
+			if w.store.reached(zone) && w.chance(25) {
+				w.claim(zone)
+			}
+		case !w.calm && w.rand.IntN(80) == 0:
+			w.trace("owner %d freezes", current.number)
+			current.frozenUntil = w.now.Add(w.upTo(9 * time.Second))
+			w.after(w.upTo(4*time.Second), func() {
+				if !w.calm && w.store.reached(zone) {
+					w.claim(zone)
+				}
+			})
+		case !w.calm && w.rand.IntN(150) == 0:
+			current.kill("crash")
+		case !w.calm && w.rand.IntN(100) == 0 && w.store.reached(zone):
+			w.claim(zone)
+		}
+		w.after(500*time.Millisecond, next)
+	}
+	w.after(3*time.Second, next)
+}
+
+func (o *modelOwner) frozen(now time.Time) bool { return now.Before(o.frozenUntil) }
+
+func (o *modelOwner) kill(why string) {
+	o.world.trace("owner %d ends: %s", o.number, why)
+	o.dead = true
+}
+
+// run lets the owner decide at each tick and ask the store for confirmations.
+func (o *modelOwner) run() {
+	w := o.world
+	ticks := 0
+	var tick func()
+	tick = func() {
+		if o.dead {
+			return
+		}
+		if o.frozen(w.now) {
+			w.after(o.frozenUntil.Sub(w.now), tick)
+			return
+		}
+		if ticks%15 == 0 {
+			w.store.confirm(o)
+		}
+		w.discovery.list(o)
+		ticks++
+		o.decide()
+		w.after(tickInterval, tick)
+	}
+	tick()
+}
+
+// handle delivers an input, and lets the owner decide soon.
+func (o *modelOwner) handle(in Msg) {
+	w := o.world
+	if o.dead || o.Scheduler == nil {
+		return
+	}
+	if o.frozen(w.now) {
+		w.after(o.frozenUntil.Sub(w.now), func() { o.handle(in) })
+		return
+	}
+	o.Handle(w.now, in)
+	if !o.decideDue {
+		o.decideDue = true
+		w.after(gatherInterval, func() {
+			o.decideDue = false
+			if !o.dead && !o.frozen(w.now) {
+				o.decide()
+			}
+		})
+	}
+}
+
+func (o *modelOwner) decide() {
+	commands := o.Decide(o.world.now)
+	if o.Superseded() {
+		o.kill("superseded")
+		return
+	}
+	// Scheduler stops the runs of a worker in the order of a map.
+	slices.SortStableFunc(commands, func(a, b Command) int { return cmp.Compare(commandKey(a), commandKey(b)) })
+	for _, c := range commands {
+		o.execute(c)
+	}
+}
+
+// commandKey orders the stops of a round. All other commands keep their order.
+func commandKey(c Command) string {
+	if s, ok := c.(StopCmd); ok {
+		return string(s.order.to.worker) + string(s.order.task.job) + taskName(s.order.task)
+	}
+	return ""
+}
+
+func (o *modelOwner) execute(c Command) {
+	switch c := c.(type) {
+	case StartCmd:
+		o.enqueue(c.order.to.worker, c)
+	case StopCmd:
+		o.enqueue(c.order.to.worker, c)
+	case PollCmd:
+		o.poll(c.order)
+	case CommitCmd:
+		o.world.store.commit(o, c)
+	case SendCmd:
+		if r, ok := c.msg.(order.JobReplyMsg); ok {
+			o.world.clients.reply(o, r)
+		}
+	}
+}
+
+func (o *modelOwner) enqueue(id order.WorkerID, c Command) {
+	q := o.queues[id]
+	if q == nil {
+		q = &modelQueue{}
+		o.queues[id] = q
+	}
+	q.waiting = append(q.waiting, c)
+	o.sendNext(q)
+}
+
+func (o *modelOwner) sendNext(q *modelQueue) {
+	for q.open < maxOrdersPerWorker && len(q.waiting) > 0 && !o.dead {
+		c := q.waiting[0]
+		q.waiting = q.waiting[1:]
+		q.open++
+		o.send(q, c, 1, nil)
+	}
+}
+
+// send makes one attempt to send an order, as sendWithRetry does.
+func (o *modelOwner) send(q *modelQueue, c Command, try int, unconfirmed error) {
+	w := o.world
+	if o.dead {
+		return
+	}
+	if o.frozen(w.now) {
+		w.after(o.frozenUntil.Sub(w.now), func() { o.send(q, c, try, unconfirmed) })
+		return
+	}
+	finish := func(clock int64, err error) {
+		q.open--
+		o.handle(orderResult(c, clock, err))
+		o.sendNext(q)
+	}
+	to, p := orderOf(c)
+	if !p.use(w.now) {
+		if unconfirmed == nil {
+			unconfirmed = errWithdrawn
+		}
+		finish(0, unconfirmed)
+		return
+	}
+	timeout := earlyOrderTimeout
+	if try == maxOrderTries {
+		timeout = orderTimeout
+	}
+	result := func(clock int64, err error) {
+		var refused *RefusedError
+		switch {
+		case err == nil || unconfirmed == nil && (errors.As(err, &refused) || errors.Is(err, ErrNotSent)):
+			finish(clock, err)
+		case try == maxOrderTries:
+			finish(clock, cmp.Or(unconfirmed, err))
+		default:
+			o.send(q, c, try+1, cmp.Or(unconfirmed, err))
+		}
+	}
+	w.network.carry(o, to, timeout, func(m *modelWorker, from sender, answer func(func())) {
+		clock, err := m.carryOut(c, from)
+		answer(func() { result(clock, err) })
+	}, func(err error) { result(0, err) })
+}
+
+func (m *modelWorker) carryOut(c Command, from sender) (int64, error) {
+	if s, ok := c.(StopCmd); ok {
+		return m.stop(s.order)
+	}
+	return m.start(c.(StartCmd).order, from)
+}
+
+func orderOf(c Command) (WorkerAddress, *permit) {
+	if s, ok := c.(StopCmd); ok {
+		return s.order.to, s.order.permit
+	}
+	s := c.(StartCmd)
+	return s.order.to, s.order.permit
+}
+
+func orderResult(c Command, clock int64, err error) Msg {
+	if s, ok := c.(StopCmd); ok {
+		return StoppedMsg{order: s.order, clock: clock, err: err}
+	}
+	return StartedMsg{order: c.(StartCmd).order, clock: clock, err: err}
+}
+
+func (o *modelOwner) poll(p PollOrder) {
+	w := o.world
+	sentAt := w.now
+	result := func(r Report, err error) { o.handle(PolledMsg{order: p, sentAt: sentAt, report: r, err: err}) }
+	if !p.permit.use(sentAt) {
+		result(Report{}, errWithdrawn)
+		return
+	}
+	w.network.carry(o, p.to, p.wait+orderTimeout, func(m *modelWorker, _ sender, answer func(func())) {
+		m.hold(p, func(r Report, err error) { answer(func() { result(r, err) }) })
+	}, func(err error) { result(Report{}, err) })
+}
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -22,6 +22,15 @@
 	go test -count=1 -timeout 540s "${skip[@]}" "${others[@]}"
 	go test -count=1 -timeout 540s "${skip[@]}" "${randomised[@]}" -rapid.seed="$seed"
 	;;
+explore)
+	if [ -n "${SEED:-}" ]; then
+		# Repeats one seed and prints its timeline.
+		EXPLORE_SEED=$SEED go test -count=1 -v -run '^TestExplore$' ./scheduler
+		exit
+	fi
+	# The first of the seeds is the time, so that each call plays new ones.
+	EXPLORE_SEEDS=${SEEDS:-2000} EXPLORE_FROM=${FROM:-$(date +%s)} go test -count=1 -v -timeout 3600s -run '^TestExplore$' ./scheduler
+	;;
 soak)
 	if [ -n "${SEED:-}" ]; then
 		# Repeats one seed and prints the times of its faults. The logs of
