Acknowledge no ends to a worker that may have restarted

What callers could have seen: done tasks that run again (rule TWICE). A worker that restarts at the same address got the former life's last number with the next poll, and forgot ends of its new life that no owner had read.

A poll after a missed call, and the first one, acknowledge nothing; the numbers of ends that were handled already are skipped as before. TestPollAfterMissedCallAcknowledgesNothing.

--- a/scheduler/two_owners_test.go
+++ b/scheduler/two_owners_test.go
@@ -455,3 +455,22 @@
 	d.advance(20 * time.Millisecond)
 	d.is.True(d.m.recovered())
 }
+
+// A poll to a worker that may have restarted must not acknowledge ends by the numbers of its earlier life.
+func TestPollAfterMissedCallAcknowledgesNothing(t *testing.T) {
+	d := newDriverWithJob(t, []order.WorkerID{"w1"}, smallStep(1))
+	s, ok := d.takeStart()
+	d.is.True(ok)
+	d.answerStart(s, nil)
+	d.advance(100 * time.Millisecond)
+	d.answerPoll("w1", nil, []EndedTask{NewEndedTask(7, s.order.task, s.order.run, ResultDone, "")})
+	d.commitAll()
+	p, ok := d.takePollOf("w1")
+	d.is.True(ok)
+	d.is.Equal(p.order.acked, int64(7))
+	d.feed(PolledMsg{order: p.order, sentAt: d.now, err: errCut})
+	d.advance(time.Second)
+	p, ok = d.takePollOf("w1")
+	d.is.True(ok)
+	d.is.Equal(p.order.acked, int64(0))
+}
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -303,11 +303,12 @@
 // newPoll returns the next poll of a worker. One that does not respond gets no
 // longer lease, so that its runs have certainly ended at some time.
 func (m *Scheduler) newPoll(now time.Time, w *worker) PollOrder {
-	o := PollOrder{to: w.address(), epoch: m.epoch, acked: w.acked, permit: &permit{}}
+	o := PollOrder{to: w.address(), epoch: m.epoch, permit: &permit{}}
 	if !w.contacted || w.missedCalls > 0 {
+		// Another life may be there, whose ends have other numbers.
 		return o
 	}
-	o.wait = pollWait
+	o.acked, o.wait = w.acked, pollWait
 	if len(w.attempts) == 0 {
 		o.wait = idlePollWait
 	}
