Repeat a run that ended unseen only once the ownership is confirmed

An owner that had lost the cell, and did not know it for up to 3 s, took a worker's restart for the end of its runs and started them on a worker that its successor had not reached; the successor had taken note of their ends before.

A restart, an exit and a confirmed stop prove that a run no longer works, not that it wasn't done. Its task now waits for a confirmation of the ownership from after that moment.

--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -66,6 +66,9 @@
 		suspended          time.Duration
 		superseded         bool
 
+		// endedRuns are ended runs whose tasks wait for a confirmation.
+		endedRuns []endedRun
+
 		// headroom is the free capacity in the present round of placement.
 		headroom headroom
 
@@ -358,6 +361,7 @@
 // time, and returns the commands to execute in order.
 func (m *Scheduler) Decide(now time.Time) []Command {
 	m.expireRuns(now)
+	m.requeueEndedRuns(now)
 	m.answerStalled(now)
 	m.place(now)
 	m.pollWorkers(now)
--- a/scheduler/tenure.go
+++ b/scheduler/tenure.go
@@ -5,6 +5,13 @@
 	"time"
 )
 
+// endedRun is a run that was found to have ended at the time, for the reason.
+type endedRun struct {
+	attempt *attempt
+	at      time.Time
+	reason  string
+}
+
 // confirm records that no other process had owned the cell at the given time.
 func (m *Scheduler) confirm(at time.Time, suspended time.Duration) {
 	if at.After(m.confirmedAt) {
@@ -62,3 +69,24 @@
 // Superseded reports whether another process owns the cell. No command must be
 // executed from then on.
 func (m *Scheduler) Superseded() bool { return m.superseded }
+
+// requeueConfirmed frees the capacity of a run that has certainly ended, but not
+// by an end that the worker listed. Its task waits for its next run once the
+// store has confirmed the ownership: until then a successor may have taken note
+// that the run was done.
+func (m *Scheduler) requeueConfirmed(now time.Time, a *attempt, reason string) {
+	m.release(a)
+	a.state = attemptStopping
+	m.endedRuns = append(m.endedRuns, endedRun{attempt: a, at: now, reason: reason})
+}
+
+// requeueEndedRuns makes the tasks of ended runs wait again whose end the last
+// confirmation follows.
+func (m *Scheduler) requeueEndedRuns(now time.Time) {
+	n := 0
+	for n < len(m.endedRuns) && !m.confirmedAt.Before(m.endedRuns[n].at) {
+		m.requeue(now, m.endedRuns[n].attempt, m.endedRuns[n].reason)
+		n++
+	}
+	m.endedRuns = m.endedRuns[n:]
+}
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -229,12 +229,15 @@
 		Dur("ownership_age", m.ownershipAge(now)).Msg("yard: worker restarted")
 	w.pollPermit.withdraw()
 	for _, a := range w.attempts {
-		if a.reported() || a.startPermit.withdraw() {
+		switch {
+		case a.startPermit.withdraw():
 			m.release(a)
 			m.requeue(now, a, "worker started anew")
-			continue
+		case a.reported():
+			m.requeueConfirmed(now, a, "worker started anew")
+		default:
+			m.keepUnreported(now, a)
 		}
-		m.keepUnreported(now, a)
 	}
 	// An order of the earlier life that is still under way may give the present
 	// one the longest lease, as it ends on another clock.
@@ -271,8 +274,7 @@
 // dropAttempts ends all runs of the worker and makes their tasks wait again.
 func (m *Scheduler) dropAttempts(now time.Time, w *worker, reason string) {
 	for _, a := range w.attempts {
-		m.release(a)
-		m.requeue(now, a, reason)
+		m.requeueConfirmed(now, a, reason)
 	}
 }
 
@@ -540,8 +542,7 @@
 		}
 	case attemptStopping:
 		if in.sentAt.After(a.stopConfirmedAt) {
-			m.release(a)
-			m.requeue(now, a, "stopped before it began")
+			m.requeueConfirmed(now, a, "stopped before it began")
 		}
 	}
 }
