--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -66,8 +66,10 @@
 		suspended          time.Duration
 		superseded         bool
 
-		// endedRuns are ended runs whose tasks wait for a confirmation.
-		endedRuns []endedRun
+		// endedRuns are ended runs whose tasks wait for a confirmation, and
+		// unknownCalls the calls that wait for one, both in the order of time.
+		endedRuns    []endedRun
+		unknownCalls []unknownCall
 
 		// headroom is the free capacity in the present round of placement.
 		headroom headroom
@@ -362,6 +364,7 @@
 func (m *Scheduler) Decide(now time.Time) []Command {
 	m.expireRuns(now)
 	m.requeueEndedRuns(now)
+	m.answerUnknown(now)
 	m.answerStalled(now)
 	m.place(now)
 	m.pollWorkers(now)
--- a/scheduler/submit.go
+++ b/scheduler/submit.go
@@ -190,7 +190,11 @@
 // may still be refused, so it counts as unknown.
 func (m *Scheduler) replyStatus(now time.Time, from order.MemberID, c order.JobCallMsg, id order.JobID) {
 	j, ok := m.jobs[id]
-	if !ok || !j.persisted {
+	if !ok {
+		m.holdUnknown(now, from, c)
+		return
+	}
+	if !j.persisted {
 		m.refuse(now, from, c, order.UnknownRequest, "no such job")
 		return
 	}
@@ -202,7 +206,7 @@
 func (m *Scheduler) cancelJob(now time.Time, from order.MemberID, c order.JobCallMsg, id order.JobID) {
 	j, ok := m.jobs[id]
 	if !ok {
-		m.refuse(now, from, c, order.UnknownRequest, "no such job")
+		m.holdUnknown(now, from, c)
 		return
 	}
 	if !j.state.Ended() {
--- a/scheduler/tenure.go
+++ b/scheduler/tenure.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"time"
+
+	"chervilhollow/order"
 )
 
 // endedRun is a run that was found to have ended at the time, for the reason.
@@ -12,6 +14,13 @@
 	reason  string
 }
 
+// unknownCall is a call about a job that this owner did not know at the time.
+type unknownCall struct {
+	from order.MemberID
+	call order.JobCallMsg
+	at   time.Time
+}
+
 // confirm records that no other process had owned the cell at the given time.
 func (m *Scheduler) confirm(at time.Time, suspended time.Duration) {
 	if at.After(m.confirmedAt) {
@@ -90,3 +99,29 @@
 	}
 	m.endedRuns = m.endedRuns[n:]
 }
+
+// holdUnknown keeps a call about a job that this owner does not know until the
+// store has confirmed the ownership: a successor may have accepted the job.
+func (m *Scheduler) holdUnknown(now time.Time, from order.MemberID, c order.JobCallMsg) {
+	m.unknownCalls = append(m.unknownCalls, unknownCall{from: from, call: c, at: now})
+}
+
+// answerUnknown answers the calls about unknown jobs which the last confirmation
+// follows, and those that have waited for one for too long.
+func (m *Scheduler) answerUnknown(now time.Time) {
+	n := 0
+	for n < len(m.unknownCalls) {
+		u := m.unknownCalls[n]
+		switch {
+		case !m.confirmedAt.Before(u.at):
+			m.refuse(now, u.from, u.call, order.UnknownRequest, "no such job")
+		case now.Sub(u.at) >= uncertainReplyDelay:
+			m.refuse(now, u.from, u.call, order.OutcomeUnknown, "the store does not confirm the ownership")
+		default:
+			m.unknownCalls = m.unknownCalls[n:]
+			return
+		}
+		n++
+	}
+	m.unknownCalls = nil
+}
--- a/scheduler/two_owners_test.go
+++ b/scheduler/two_owners_test.go
@@ -433,6 +433,29 @@
 	}
 }
 
+// An owner that the store doesn't confirm must not say that a job is unknown, as a successor may have accepted it.
+func TestUnknownJobNeedsConfirmation(t *testing.T) {
+	for _, verb := range []order.JobVerb{order.CancelJob, order.JobStatus} {
+		d := newDriver(t, testEpoch)
+		d.configure(policy.Advice{}, order.Resources{})
+		d.unconfirmed = true
+		d.call(verb)
+		_, replied := d.takeReply()
+		d.is.True(!replied)
+		d.confirm()
+		d.advance(20 * time.Millisecond)
+		reply, replied := d.takeReply()
+		d.is.True(replied)
+		d.is.Equal(reply.Code(), order.UnknownRequest)
+
+		d.call(verb)
+		d.advance(uncertainReplyDelay + 20*time.Millisecond)
+		reply, replied = d.takeReply()
+		d.is.True(replied)
+		d.is.Equal(reply.Code(), order.OutcomeUnknown)
+	}
+}
+
 // A poll to a worker that may have restarted must not acknowledge ends by the numbers of its earlier life.
 func TestPollAfterMissedCallAcknowledgesNothing(t *testing.T) {
 	d := newDriverWithJob(t, []order.WorkerID{"w1"}, smallStep(1))
