--- a/drain/server.go
+++ b/drain/server.go
@@ -17,8 +17,7 @@
 
 type (
 	// Server serves HTTP on one listener. Create it with New, call Serve once
-	// and end it with Shutdown
-	// or Close.
+	// and end it with Shutdown or Close.
 	Server struct {
 		server *http.Server
 		clock  timers.Clock
--- a/scheduler/cooldown.go
+++ b/scheduler/cooldown.go
@@ -95,8 +95,8 @@
 }
 
 // atFault reports whether the failures of the task on the worker tell of the
-// task: it has failed or stalled on another worker as well, or has a step of which no task
-// is done and which fails on others.
+// task: it has failed or stalled on another worker as well, or no task of its
+// step is done and the step fails on others.
 func (t *task) atFault(now time.Time, on order.WorkerID) bool {
 	for _, id := range t.failedOn {
 		if id != on {
