--- a/scheduler/tenure.go
+++ b/scheduler/ownership.go
@@ -7,19 +7,23 @@
 	"chervilhollow/order"
 )
 
-// endedRun is a run that was found to have ended at the time, for the reason.
-type endedRun struct {
-	attempt *attempt
-	at      time.Time
-	reason  string
-}
+type (
+	// endedRun is a run that was found to have ended at the time, for the
+	// reason.
+	endedRun struct {
+		attempt *attempt
+		at      time.Time
+		reason  string
+	}
 
-// unknownCall is a call about a job that this owner did not know at the time.
-type unknownCall struct {
-	from order.MemberID
-	call order.JobCallMsg
-	at   time.Time
-}
+	// unknownCall is a call about a job that this owner did not know at the
+	// time.
+	unknownCall struct {
+		from order.MemberID
+		call order.JobCallMsg
+		at   time.Time
+	}
+)
 
 // confirm records that no other process had owned the cell at the given time.
 func (m *Scheduler) confirm(at time.Time, suspended time.Duration) {
