--- a/scheduler/journal.go
+++ b/scheduler/journal.go
@@ -236,7 +236,7 @@
 		}
 	}
 	m.journal.dirty = remaining
-	if !m.confirmedAt.Before(m.unlistedLeaseEnd) {
+	if m.confirmedSince(m.unlistedLeaseEnd) {
 		batch, f.workers = m.addWorkerList(batch)
 	}
 	for len(m.journal.deletions) > 0 && batch.Size()+2 <= storage.MaxBatch {
--- a/scheduler/ownership.go
+++ b/scheduler/ownership.go
@@ -32,6 +32,10 @@
 	}
 }
 
+// confirmedSince reports whether the store has confirmed the ownership at or
+// after the given time.
+func (m *Scheduler) confirmedSince(t time.Time) bool { return !m.confirmedAt.Before(t) }
+
 // leaseLength returns how long a lease that is granted now may last, and zero if
 // none may be granted. A successor may have claimed the cell at any time since
 // confirmedAt, and counts with leases of its predecessor for maxLease from its
@@ -66,7 +70,7 @@
 // lapsed reports whether all leases of the worker that this owner knows of have
 // certainly expired, and no other owner can have renewed them before: the store
 // confirmed the ownership after their end.
-func (m *Scheduler) lapsed(w *worker) bool { return !m.confirmedAt.Before(w.leaseEnd) }
+func (m *Scheduler) lapsed(w *worker) bool { return m.confirmedSince(w.leaseEnd) }
 
 // checkEpoch ends the ownership if the result of an order says that the worker
 // has accepted a later epoch.
@@ -97,7 +101,7 @@
 // confirmation follows.
 func (m *Scheduler) requeueEndedRuns(now time.Time) {
 	n := 0
-	for n < len(m.endedRuns) && !m.confirmedAt.Before(m.endedRuns[n].at) {
+	for n < len(m.endedRuns) && m.confirmedSince(m.endedRuns[n].at) {
 		m.requeue(now, m.endedRuns[n].attempt, m.endedRuns[n].reason)
 		n++
 	}
@@ -117,7 +121,7 @@
 	for n < len(m.unknownCalls) {
 		u := m.unknownCalls[n]
 		switch {
-		case !m.confirmedAt.Before(u.at):
+		case m.confirmedSince(u.at):
 			m.refuse(now, u.from, u.call, order.UnknownRequest, "no such job")
 		case now.Sub(u.at) >= uncertainReplyDelay:
 			m.refuse(now, u.from, u.call, order.OutcomeUnknown, "the store does not confirm the ownership")
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -586,12 +586,12 @@
 // recovered reports whether all runs that earlier owners may have started are
 // known: each worker has reported all ends, or its last lease has lapsed.
 func (m *Scheduler) recovered() bool {
-	if m.confirmedAt.Before(m.unlistedLeaseEnd) {
+	if !m.confirmedSince(m.unlistedLeaseEnd) {
 		return false
 	}
 	// From then on no earlier owner can have started anything on a worker that
 	// restarts and forgets which epoch it had accepted.
-	allLapsed := !m.confirmedAt.Before(m.startedAt.Add(maxLeaseTime(m.limits.maxLease)))
+	allLapsed := m.confirmedSince(m.startedAt.Add(maxLeaseTime(m.limits.maxLease)))
 	for _, w := range m.workers {
 		if !w.reported && (w.contacted || !m.lapsed(w) && !allLapsed) {
 			return false
