Find a job's queue by what it is, not by its name alone

Routes that exchanged their names exchanged their jobs, and a renamed route said that none of its jobs waits.

Cause: a job found its queue again by name only.

The stored definition now has host and path prefix. A job follows the queue with the same address and service, whatever its name; or else the one of its name, unless that has both another address and another service. Jobs stored by an earlier version lack the address and are found by name and service.

Tests that failed before: TestJobKeepsItsQueueWhenTheNameIsReused failed != pending TestJobsFollowQueuesThatExchangeNames 0 != 4 TestCountsWaitingJobsOfRenamedQueue 0 != 1

--- a/order/schema_gen.go
+++ b/order/schema_gen.go
@@ -2647,6 +2647,8 @@
 		AdviceTime          time.Duration `cbor:"6,keyasint,omitempty"`
 		AdviceTimePerWorker time.Duration `cbor:"7,keyasint,omitempty"`
 		TicketValidity      time.Duration `cbor:"8,keyasint,omitempty"`
+		Host                string        `cbor:"9,keyasint,omitempty"`
+		Prefix              string        `cbor:"10,keyasint,omitempty"`
 	}
 )
 
@@ -2716,6 +2718,22 @@
 	return x
 }
 
+// Host returns the host name of the calls that the queue accepts.
+func (x QueueRecord) Host() string { return x.w.Host }
+
+func (x QueueRecord) WithHost(v string) QueueRecord {
+	x.w.Host = v
+	return x
+}
+
+// Prefix returns the path prefix of the calls that the queue accepts.
+func (x QueueRecord) Prefix() string { return x.w.Prefix }
+
+func (x QueueRecord) WithPrefix(v string) QueueRecord {
+	x.w.Prefix = v
+	return x
+}
+
 // MarshalCBOR implements cbor.Marshaler.
 func (x QueueRecord) MarshalCBOR() ([]byte, error) { return marshal(x.w) }
 
--- a/policy/config.go
+++ b/policy/config.go
@@ -165,6 +165,23 @@
 	return Queue{}, false
 }
 
+// Successor returns the queue that an earlier queue has become: the one with its
+// address and service whatever its name, or else the one with its name, unless
+// that has both another address and another service. It reports false if there
+// is none.
+func (c *Config) Successor(earlier Queue) (Queue, bool) {
+	for _, q := range c.queues {
+		if q.SameAddress(earlier) && q.service == earlier.service {
+			return q, true
+		}
+	}
+	q, ok := c.Queue(earlier.name)
+	if !ok || (!q.SameAddress(earlier) && q.service != earlier.service) {
+		return Queue{}, false
+	}
+	return q, true
+}
+
 // TopPriority returns the priority of the most urgent queue of the service, and
 // zero if it has none.
 func (c *Config) TopPriority(service string) int {
@@ -193,6 +210,16 @@
 // Name returns the unique name of the queue.
 func (q Queue) Name() order.QueueName { return q.name }
 
+// Host returns the host name of the calls that the queue accepts.
+func (q Queue) Host() string { return q.host }
+
+// Prefix returns the path prefix of the calls that the queue accepts.
+func (q Queue) Prefix() string { return q.prefix }
+
+// SameAddress reports whether both queues accept the calls for the same host
+// name and path prefix.
+func (q Queue) SameAddress(other Queue) bool { return q.host == other.host && q.prefix == other.prefix }
+
 // Service returns the name of the worker pool that runs the tasks.
 func (q Queue) Service() string { return q.service }
 
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -310,14 +310,14 @@
 
 // queueRecord returns the definition of a queue as it is stored.
 func queueRecord(q policy.Queue) order.QueueRecord {
-	return order.QueueRecord{}.WithService(q.Service()).WithPriority(q.Priority()).WithAttempts(q.MaxAttempts()).
+	return order.QueueRecord{}.WithHost(q.Host()).WithPrefix(q.Prefix()).WithService(q.Service()).WithPriority(q.Priority()).WithAttempts(q.MaxAttempts()).
 		WithStretch(q.Stretch()).WithTarget(q.Target()).WithAdviceTime(q.Advice().CallTime()).
 		WithAdviceTimePerWorker(q.Advice().TimePerWorker()).WithTicketValidity(q.Advice().Validity())
 }
 
 // restoreQueue returns the queue of a stored definition.
 func restoreQueue(name order.QueueName, r order.QueueRecord) policy.Queue {
-	return policy.NewQueue(name, "", "", r.Service()).WithPriority(r.Priority()).WithAttempts(r.Attempts()).
+	return policy.NewQueue(name, r.Host(), r.Prefix(), r.Service()).WithPriority(r.Priority()).WithAttempts(r.Attempts()).
 		WithObjective(r.Stretch(), r.Target()).
 		WithAdvice(policy.NewAdvice(r.AdviceTime(), r.AdviceTimePerWorker(), r.TicketValidity()))
 }
@@ -326,17 +326,27 @@
 // defined when it accepted the job if it has been removed since. It reports
 // false if a job of an earlier version lacks that definition.
 func (m *Scheduler) queueOf(j *job) (policy.Queue, bool) {
-	if q, ok := m.config.Queue(j.queue); ok {
+	if q, ok := m.presentQueue(j); ok {
 		return q, true
 	}
 	return j.acceptedBy, j.acceptedBy.Service() != ""
 }
 
+// presentQueue returns the job's queue by the present configuration. It reports
+// false if that has none. The queue of a job without a stored definition can be
+// found by its name only.
+func (m *Scheduler) presentQueue(j *job) (policy.Queue, bool) {
+	if j.acceptedBy.Service() == "" {
+		return m.config.Queue(j.queue)
+	}
+	return m.config.Successor(j.acceptedBy)
+}
+
 // logRemovedQueues logs the jobs whose queue the present configuration lacks.
 func (m *Scheduler) logRemovedQueues() {
 	count := make(map[order.QueueName]int)
 	for _, j := range m.active {
-		if _, ok := m.config.Queue(j.queue); !ok {
+		if _, ok := m.presentQueue(j); !ok {
 			count[j.queue]++
 		}
 	}
--- a/scheduler/submit.go
+++ b/scheduler/submit.go
@@ -240,7 +240,7 @@
 func (m *Scheduler) replyWaiting(from order.MemberID, c order.JobCallMsg, queue policy.Queue) {
 	waiting := 0
 	for _, j := range m.active {
-		if j.queue == queue.Name() && j.persisted && !j.started {
+		if q, ok := m.queueOf(j); ok && q.SameAddress(queue) && j.persisted && !j.started {
 			waiting++
 		}
 	}
