Keep the limit of a team that a configuration removes

Cause: the limit was found again by the team's name, and a name that the configuration lacks means no limit.

A job now keeps the limit of its team in the last configuration that has it, and the record stores it for a later owner.

Test that failed before: TestTeamLimitHoldsAfterTeamIsRemoved, "5 != 2".

--- a/order/schema_gen.go
+++ b/order/schema_gen.go
@@ -2756,6 +2756,7 @@
 		Ended      time.Time    `cbor:"9,keyasint,omitempty"`
 		Excess     bool         `cbor:"10,keyasint,omitempty"`
 		AcceptedBy QueueRecord  `cbor:"11,keyasint,omitempty"`
+		Limit      Resources    `cbor:"12,keyasint,omitempty"`
 	}
 )
 
@@ -2849,6 +2850,15 @@
 	return x
 }
 
+// Limit returns the limit of the team in the last configuration known to have
+// it. It is empty once the job has ended.
+func (x JobRecord) Limit() Resources { return x.w.Limit }
+
+func (x JobRecord) WithLimit(v Resources) JobRecord {
+	x.w.Limit = v
+	return x
+}
+
 // MarshalCBOR implements cbor.Marshaler.
 func (x JobRecord) MarshalCBOR() ([]byte, error) { return marshal(x.w) }
 
--- a/policy/config.go
+++ b/policy/config.go
@@ -204,6 +204,12 @@
 // zero amount means no limit, and so does an unknown team.
 func (c *Config) Limit(team order.TeamName) order.Resources { return c.teams[team].limit }
 
+// HasTeam reports whether the configuration has the team.
+func (c *Config) HasTeam(team order.TeamName) bool {
+	_, ok := c.teams[team]
+	return ok
+}
+
 // Weight returns the fair-share weight of the team, or zero if it is unknown.
 func (c *Config) Weight(team order.TeamName) float64 { return c.teams[team].weight }
 
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -26,6 +26,9 @@
 		// acceptedBy is the queue as defined when it accepted the job.
 		acceptedBy policy.Queue
 
+		// limit is the limit of the team in the last configuration that has it.
+		limit order.Resources
+
 		// started reports whether a worker is known to have begun any task.
 		started bool
 
@@ -305,7 +308,7 @@
 			steps = append(steps, sr)
 		}
 	}
-	return r.WithSpec(j.spec).WithSteps(steps).WithAcceptedBy(queueRecord(j.acceptedBy))
+	return r.WithSpec(j.spec).WithSteps(steps).WithAcceptedBy(queueRecord(j.acceptedBy)).WithLimit(j.limit)
 }
 
 // queueRecord returns the definition of a queue as it is stored.
@@ -342,6 +345,16 @@
 	return m.config.Successor(j.acceptedBy)
 }
 
+// updateLimits takes the limits of teams from the present configuration. The
+// jobs of a team that has been removed keep the last one.
+func (m *Scheduler) updateLimits() {
+	for _, j := range m.active {
+		if m.config.HasTeam(j.team) {
+			j.limit = m.config.Limit(j.team)
+		}
+	}
+}
+
 // logRemovedQueues logs the jobs whose queue the present configuration lacks.
 func (m *Scheduler) logRemovedQueues() {
 	count := make(map[order.QueueName]int)
@@ -389,7 +402,7 @@
 	j := newJob(r.ID(), r.Queue(), r.Team(), r.Spec(), r.Accepted(), r.Epoch())
 	j.state, j.storedState, j.ended = r.State(), r.State(), r.Ended()
 	j.version, j.persisted, j.excess = version, true, r.Excess()
-	j.acceptedBy = restoreQueue(r.Queue(), r.AcceptedBy())
+	j.acceptedBy, j.limit = restoreQueue(r.Queue(), r.AcceptedBy()), r.Limit()
 	j.started = len(r.Steps()) > 0
 	for _, sr := range r.Steps() {
 		s := j.step(sr.Occurrence(), sr.Step())
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -107,7 +107,7 @@
 	switch {
 	case p.queue.Advice().Needed() && p.step.tickets == nil:
 		return m.advise(now, p)
-	case !m.withinTeamLimit(p.step.job.team, p.step.spec.Size(), p.step.tasksAtOnce()):
+	case !m.withinTeamLimit(p.step.job, p.step.spec.Size(), p.step.tasksAtOnce()):
 		m.recordWait(now, p, "team_limit", 0)
 		return true
 	case m.leavesHeadroom(now, p):
@@ -175,10 +175,10 @@
 	return n
 }
 
-// withinTeamLimit reports whether the team's limit allows n more tasks of the
-// size.
-func (m *Scheduler) withinTeamLimit(team order.TeamName, size order.Resources, n int) bool {
-	return m.usage[team].Plus(m.unconfirmed[team]).Plus(size.Times(n)).Within(m.config.Limit(team))
+// withinTeamLimit reports whether the limit of the job's team allows n more
+// tasks of the size.
+func (m *Scheduler) withinTeamLimit(j *job, size order.Resources, n int) bool {
+	return m.usage[j.team].Plus(m.unconfirmed[j.team]).Plus(size.Times(n)).Within(j.limit)
 }
 
 // placeTasks starts the waiting tasks of a step one by one, on workers with a
@@ -194,7 +194,7 @@
 		if task.state != taskWaiting {
 			continue
 		}
-		if !m.withinTeamLimit(p.step.job.team, size, 1) {
+		if !m.withinTeamLimit(p.step.job, size, 1) {
 			m.recordWait(now, p, "team_limit", len(feasible))
 			return
 		}
--- a/scheduler/route_test.go
+++ b/scheduler/route_test.go
@@ -137,3 +137,31 @@
 	d.is.Equal(d.countWaiting("/proofs/"), 1)
 	d.is.Equal(d.countWaiting("/quotes/"), 0)
 }
+
+// The limit of a team must hold for its accepted jobs after a configuration has
+// removed the team, also at a later owner.
+func TestTeamLimitHoldsAfterTeamIsRemoved(t *testing.T) {
+	d := newDriver(t, testEpoch)
+	d.configure(policy.Advice{}, order.NewResources(4000, 0, 0))
+	d.submit(1, smallStep(5))
+	d.commitAll()
+	q, ok := d.m.config.Queue(testQueue)
+	d.is.True(ok)
+	lowered := policy.NewTeam(testTeam, []string{testKey}, 1, order.NewResources(2000, 0, 0))
+	d.feed(NewConfigMsg(policy.NewConfig(2, []policy.Queue{q}, []policy.Team{lowered}), nil))
+	withoutTeam := NewConfigMsg(policy.NewConfig(3, []policy.Queue{q}, nil), nil)
+	d.feed(withoutTeam)
+	d.m.markDirty(d.m.jobs[jobID(1)])
+	value, err := d.m.jobs[jobID(1)].record().MarshalCBOR()
+	d.is.NoErr(err)
+	d.addWorkers("w1")
+	d.advance(time.Second)
+	d.is.Equal(d.startedOf(jobID(1)), 2)
+
+	n := newDriver(t, testEpoch+1)
+	n.m.Restore(entries(jobKey(jobID(1)), value))
+	n.feed(withoutTeam)
+	n.addWorkers("w1")
+	n.advance(time.Second)
+	n.is.Equal(n.startedOf(jobID(1)), 2)
+}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -385,6 +385,7 @@
 	}
 	if in.config != nil {
 		m.config = in.config
+		m.updateLimits()
 		m.logRemovedQueues()
 	}
 	clear(m.withdrawn)
--- a/scheduler/submit.go
+++ b/scheduler/submit.go
@@ -89,7 +89,7 @@
 		return
 	}
 	j := newJob(id, queue.Name(), team, c.Spec(), now, m.epoch)
-	j.acceptedBy = queue
+	j.acceptedBy, j.limit = queue, m.config.Limit(team)
 	if code, text := j.checkRecord(); code != order.Done {
 		m.refuse(now, from, c, code, text)
 		return
