Number advice requests by epoch

What callers saw (by reading, knowledge of a former owner): a process that lost the cell and took it again could take a late reply to a request of its earlier epoch for one of the present epoch. The step got tickets of another step, whose starts are refused, which ends a gang's run; and it never asked again about the workers that the reply did not allow, so that it could wait with workers idle (LOST).

Cause: requests were numbered from one in each epoch, and the reply has only the number. Replies may come 5 s later, from hosts where requests queue.

The numbers now begin with the epoch. Calls of clients need no such change: they are numbered by a process for all of its life, and its member ID names that.

Test that failed before: TestDropsAdviceOfEarlierEpoch, "1 != 0".

--- a/scheduler/advice.go
+++ b/scheduler/advice.go
@@ -28,6 +28,10 @@
 )
 
 const (
+	// adviceCallBits is how many bits of a request's number count the requests
+	// of an epoch.
+	adviceCallBits = 32
+
 	// maxAdviceWorkers is how many workers a request may name.
 	maxAdviceWorkers = 100
 
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -44,6 +44,10 @@
 		unconfirmedAt  time.Time
 		hosts          map[order.MemberID]*host
 		adviceRequests map[uint64]*adviceRequest
+
+		// lastAdviceCall is the number of the last advice request. It begins
+		// with the epoch, so that a late reply to a request of an earlier epoch
+		// of this process matches none of this one.
 		lastAdviceCall uint64
 		grantShares    map[order.QueueName]*grantShare
 		adviceOffset   int
@@ -320,6 +324,7 @@
 		grantShares:    make(map[order.QueueName]*grantShare),
 		shareBuckets:   make(map[order.TeamName]*tokenBucket),
 		startedAt:      now,
+		lastAdviceCall: uint64(epoch) << adviceCallBits,
 	}
 	m.journal = newJournal(record)
 	m.refusals = make(refusals)
