Drop the tickets of a worker's former life

Cause: tickets were kept by the worker's ID, which it keeps when it starts anew.

A restart now drops the worker's tickets, so that steps ask about it again. The answer to a request that was sent before this owner learned of the restart is ignored for that worker: the service may have decided before.

Tests that failed before: TestRequestsAdviceAgainForRestartedWorker not true: !ok (a start was sent) TestDropsTicketRequestedBeforeRestart 1 != 0

--- a/scheduler/advice.go
+++ b/scheduler/advice.go
@@ -164,7 +164,8 @@
 }
 
 // handleAdvice stores the tickets of a response, or schedules a retry if the
-// request failed. Responses to expired requests are dropped.
+// request failed. Responses to expired requests are dropped, as are tickets of
+// workers that may have restarted after the service decided.
 func (m *Scheduler) handleAdvice(now time.Time, r order.AdviceReplyMsg) {
 	req, ok := m.adviceRequests[r.Call()]
 	if !ok {
@@ -188,6 +189,9 @@
 	until := now.Add(queue.Advice().Validity() - ticketMargin)
 	granted := 0
 	for _, t := range r.Tickets() {
+		if w := m.workers[t.Worker()]; w != nil && req.sentAt.Before(w.restartedAt) {
+			continue
+		}
 		if !s.requestedWorkers[t.Worker()] {
 			granted++
 		}
@@ -198,6 +202,9 @@
 	}
 	named := 0
 	for _, id := range req.workers {
+		if w := m.workers[id]; w != nil && req.sentAt.Before(w.restartedAt) {
+			continue
+		}
 		if !s.requestedWorkers[id] {
 			named++
 		}
@@ -207,6 +214,19 @@
 	m.registry.Observe("yard.advice", now.Sub(req.sentAt))
 }
 
+// dropTickets drops the tickets of a worker that has restarted, as they end with
+// its life, so that the steps request new ones.
+func (m *Scheduler) dropTickets(id order.WorkerID) {
+	for _, j := range m.active {
+		for _, s := range j.steps {
+			if _, ok := s.tickets[id]; ok {
+				delete(s.tickets, id)
+				delete(s.requestedWorkers, id)
+			}
+		}
+	}
+}
+
 // expireAdvice drops requests without a response, so that their steps send new
 // ones. It keeps the host in question out of use for a second.
 func (m *Scheduler) expireAdvice(now time.Time) {
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -43,6 +43,10 @@
 		clockMillis int64
 		clockReadAt time.Time
 
+		// restartedAt is when this owner learned of the present incarnation, and
+		// zero if it knows of no earlier one.
+		restartedAt time.Time
+
 		// leaseEnd is when the last lease that may have been granted has
 		// certainly expired.
 		leaseEnd time.Time
@@ -227,7 +231,9 @@
 func (m *Scheduler) resetWorker(now time.Time, w *worker) {
 	m.log.Info().Str("worker", string(w.id)).Int("runs", len(w.attempts)).Uint64("epoch", uint64(m.epoch)).
 		Dur("ownership_age", m.ownershipAge(now)).Msg("yard: worker restarted")
+	w.restartedAt = now
 	w.pollPermit.withdraw()
+	m.dropTickets(w.id)
 	for _, a := range w.attempts {
 		switch {
 		case a.startPermit.withdraw():
