Keep a reported run while copies of its start are under way

If a report listed the run meanwhile and the worker then restarted, a copy could reach the next life, while the owner took the report as proof that the run had ended with the former one, and started the task elsewhere at once.

Cause: a report proves where a run was, not that no copy of its start is still sent.

Such a run now stays unconfirmed on the next life until the start has its result: it goes on if that life lists it, else it is stopped there and starts again once the stop is confirmed. Runs whose start has its result are dropped at once as before.

--- a/scheduler/attempt.go
+++ b/scheduler/attempt.go
@@ -25,7 +25,7 @@
 	j := t.step.job
 	a := &attempt{
 		ref: t.ref(), run: run, task: t, worker: w, size: t.step.spec.Size(),
-		team: j.team, state: attemptSent, startedAt: now, orderedAt: now, startPermit: m.startPermit(now),
+		team: j.team, state: attemptSent, startedAt: now, orderedAt: now, startPermit: m.startPermit(now), startOpen: true,
 	}
 	if t.run > 0 {
 		m.log.Info().Str("job", string(j.id)).Int("step", t.step.index).Int("task", t.index).Int("run", run).
@@ -195,6 +195,7 @@
 	if a == nil {
 		return
 	}
+	a.startOpen = false
 	a.worker.recordClock(now, in.clock)
 	var refused *RefusedError
 	switch {
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -135,8 +135,9 @@
 	// ended before this process became the owner, the task is nil, and the size
 	// is unknown if the journal no longer has the job. orderedAt is when the
 	// last order was sent or the start confirmed, and progressAt when percent
-	// last changed. startPermit is nil for an adopted run, and stopPermit unless
-	// a stop is queued or in flight.
+	// last changed. startOpen reports whether copies of the start may still be
+	// sent. startPermit is nil for an adopted run, and stopPermit unless a stop
+	// is queued or in flight.
 	attempt struct {
 		ref             TaskRef
 		run             int
@@ -149,6 +150,7 @@
 		startedAt       time.Time
 		orderedAt       time.Time
 		stopConfirmedAt time.Time
+		startOpen       bool
 		startPermit     *permit
 		stopPermit      *permit
 		percent         int
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -239,7 +239,7 @@
 		case a.startPermit.withdraw():
 			m.release(a)
 			m.requeue(now, a, "worker started anew")
-		case a.reported():
+		case a.reported() && !a.startOpen:
 			m.requeueConfirmed(now, a, "worker started anew")
 		default:
 			m.keepUnreported(now, a)
@@ -254,8 +254,9 @@
 }
 
 // keepUnreported keeps a run whose start was sent to an earlier incarnation of
-// the worker and that no report has listed. The present incarnation may have
-// got the start, as a worker checks only its ID.
+// the worker, and either no report has listed it or copies of the start are
+// still sent. The present incarnation may have got the start, as a worker checks
+// only its ID.
 func (m *Scheduler) keepUnreported(now time.Time, a *attempt) {
 	a.stopPermit.withdraw()
 	a.stopConfirmedAt = time.Time{}
