Acknowledge no ends after an order without a response

The next poll still carried the number of the last end of the former life. If it reached the next one, that forgot its own first ends unread, and the owner took their runs for absent and started the tasks again.

Cause: since a poll acknowledges nothing after a failed poll; a start or a stop without a response says as much about the worker.

Such a poll now acknowledges nothing, until a report names the life. A stop without a response counts like a start: the worker gets no starts until its next report.

Test that failed before: TestPollAfterUnansweredOrderAcknowledgesNothing, "7 != 0".

--- a/scheduler/attempt.go
+++ b/scheduler/attempt.go
@@ -273,6 +273,10 @@
 		return
 	}
 	m.registry.Count("yard.stop_failed")
+	var refused *RefusedError
+	if !errors.As(in.err, &refused) && !errors.Is(in.err, ErrNotSent) {
+		a.worker.unresponsive = true
+	}
 }
 
 // adopt records a run that the worker reports and that this owner has not
--- a/scheduler/next_life_test.go
+++ b/scheduler/next_life_test.go
@@ -25,3 +25,34 @@
 	_, ok = d.takeStop()
 	d.is.True(!ok) // the next life runs it
 }
+
+// A poll after an order without a response must not acknowledge ends, since the
+// worker may have restarted, and would forget its first ends.
+func TestPollAfterUnansweredOrderAcknowledgesNothing(t *testing.T) {
+	for _, stop := range []bool{false, true} {
+		d := newDriverWithJob(t, []order.WorkerID{"w1"}, smallStep(2).WithPerWorker(2))
+		first, _ := d.takeStart()
+		d.answerStart(first, nil)
+		second, ok := d.takeStart()
+		d.is.True(ok)
+		d.advance(2 * pollDelay)
+		d.answerPoll("w1", nil, []EndedTask{NewEndedTask(7, first.order.task, first.order.run, ResultDone, "")})
+		if stop {
+			d.call(order.CancelJob)
+			st, ok := d.takeStop()
+			d.is.True(ok)
+			d.feed(StoppedMsg{order: st.order, err: errCut})
+		} else {
+			d.answerStart(second, errCut)
+		}
+		d.commitAll()
+		p, ok := d.takePollOf("w1")
+		d.is.True(ok)
+		d.is.Equal(p.order.acked, int64(0))
+		d.feed(PolledMsg{order: p.order, sentAt: d.now, report: NewReport(d.workerClock(), 1, nil, nil)})
+		d.advance(2 * pollDelay)
+		p, ok = d.takePollOf("w1")
+		d.is.True(ok)
+		d.is.Equal(p.order.acked, int64(7))
+	}
+}
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -62,7 +62,7 @@
 		nextPollAt  time.Time
 		missedCalls int
 
-		// unresponsive reports whether a start has had no response since the
+		// unresponsive reports whether an order has had no response since the
 		// worker's last report.
 		unresponsive bool
 
@@ -317,7 +317,11 @@
 		// Another life may be there, whose ends have other numbers.
 		return o
 	}
-	o.acked, o.wait = w.acked, pollWait
+	o.wait = pollWait
+	if !w.unresponsive {
+		// Another life may have taken the place of the one that did not respond.
+		o.acked = w.acked
+	}
 	if len(w.attempts) == 0 {
 		o.wait = idlePollWait
 	}
