Send pending calls to an owner that took the cell again

What callers saw (by reading, knowledge of a former owner): calls that waited when a process lost the cell and took it again were sent to its new ownership 0.7 s later only, and a late notice of an owner in between led calls to a process that did not own the cell any more, until the next change of owner was heard.

Cause: the forwarder recognised an owner by its member alone, and kept the epoch of its first ownership.

Test that failed before: TestResendsToOwnerThatTookTheCellAgain, "0 != 1".

--- a/entryhost/forwarder.go
+++ b/entryhost/forwarder.go
@@ -149,13 +149,14 @@
 	p.attempts++
 }
 
-// SetOwner sets the owner of the cell with its epoch. If it has changed, all
-// pending calls are sent to the new one. An earlier owner is ignored: the watch
-// of the store and a claim of this process report owners independently.
+// SetOwner sets the owner of the cell with its epoch. If either has changed, all
+// pending calls are sent to it, since a new ownership knows nothing of them. An
+// earlier owner is ignored: the watch of the store and a claim of this process
+// report owners independently.
 func (f *Forwarder) SetOwner(owner order.MemberID, epoch order.Epoch) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.owner == owner || epoch < f.epoch {
+	if epoch < f.epoch || (owner == f.owner && epoch == f.epoch) {
 		return
 	}
 	f.owner, f.epoch = owner, epoch
--- a/entryhost/forwarder_test.go
+++ b/entryhost/forwarder_test.go
@@ -98,6 +98,24 @@
 	is.Equal((<-replies).Code(), order.Done)
 }
 
+// A process that took the cell again must get the pending calls at once, as its
+// earlier ownership has dropped them, and no owner in between may replace it.
+func TestResendsToOwnerThatTookTheCellAgain(t *testing.T) {
+	is := is.New(t)
+	r := newRecorder()
+	f := newForwarder(r)
+	f.SetOwner(ownerA, 1)
+	f.SetLink(ownerA, true)
+	f.SetLink(ownerB, true)
+	startCall(f, time.Minute)
+	<-r.sent
+	f.SetOwner(ownerA, 3)
+	is.Equal(len(r.sent), 1)
+	is.Equal((<-r.sent).to, ownerA)
+	f.SetOwner(ownerB, 2)
+	is.Equal(len(r.sent), 0)
+}
+
 // Abort must fail pending calls when the process ends. Otherwise their
 // connections would be closed without a response.
 func TestAbortFailsPendingCalls(t *testing.T) {
