Skip the events that a list of several pages already had

Of a worker on a later page that had begun to drain meanwhile, the watch then reported the older state as news, and it counted as ready until the next answer; a worker listed again on a later page counted as removed.

The mirror of the operators' documents compares versions; the followers of workers and owners did not.

A follower now drops events that are not newer than what the list had.

Test that failed before: TestFollowerSkipsEventsOlderThanTheList, "[w2 ready w2 w2 draining w1 draining w2 gone] != [w1 draining w2 gone]".

--- a/storage/follower.go
+++ b/storage/follower.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -75,6 +76,7 @@
 // error of a failed call to the handler and retries.
 func (f *Follower) Run(ctx context.Context) error {
 	var after Version
+	var ahead map[string]Version
 	listed := false
 	for ctx.Err() == nil {
 		change := f.next(ctx, after, listed)
@@ -96,6 +98,11 @@
 			continue
 		}
 		listed, after = true, change.version
+		if change.snapshot {
+			ahead = change.entriesAhead()
+		} else {
+			change.dropOlder(ahead)
+		}
 		if change.snapshot || len(change.events) > 0 {
 			f.handler(change)
 		}
@@ -104,6 +111,24 @@
 	return nil
 }
 
+// entriesAhead returns the versions of the entries that are newer than the list:
+// its pages are read one after the other, and it has the version of the first.
+func (c Change) entriesAhead() map[string]Version {
+	ahead := make(map[string]Version)
+	for _, e := range c.entries {
+		if e.Version() > c.version {
+			ahead[e.Key()] = e.Version()
+		}
+	}
+	return ahead
+}
+
+// dropOlder drops the events that a list with the given entries ahead of its
+// version already had.
+func (c *Change) dropOlder(ahead map[string]Version) {
+	c.events = slices.DeleteFunc(c.events, func(e Event) bool { return e.entry.version <= ahead[e.entry.key] })
+}
+
 // next makes one call: a list first, then watches after the version reached.
 func (f *Follower) next(ctx context.Context, after Version, listed bool) Change {
 	requestedAt := f.clock.Now()
