Decide on the attempts of an order without I/O

delivery and orderQueue now decide: the timeout of each attempt, whether another follows, the result, and which order is next. The runner and the explorer use the same ones. A worker without orders has no queue and no goroutine any more; before, each worker that ever got one kept two goroutines and a channel of 256 orders.

--- a/scheduler/explore_owner_test.go
+++ b/scheduler/explore_owner_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"errors"
 	"slices"
 	"time"
 
@@ -27,14 +26,7 @@
 		frozenUntil   time.Time
 		decideDue     bool
 		listedChanges int
-		queues        map[order.WorkerID]*modelQueue
-	}
-
-	// modelQueue has the orders to one worker, of which maxOrdersPerWorker are
-	// under way.
-	modelQueue struct {
-		waiting []Command
-		open    int
+		queues        map[order.WorkerID]*orderQueue
 	}
 )
 
@@ -45,7 +37,7 @@
 	if epoch == 1 {
 		claimedAt = w.now
 	}
-	o := &modelOwner{world: w, number: epoch, zone: zone, record: w.store.put(ownerKey, []byte{byte(epoch)}), queues: make(map[order.WorkerID]*modelQueue)}
+	o := &modelOwner{world: w, number: epoch, zone: zone, record: w.store.put(ownerKey, []byte{byte(epoch)}), queues: make(map[order.WorkerID]*orderQueue)}
 	w.trace("owner %d claims in zone %d", epoch, zone)
 	w.owners = append(w.owners, o)
 	w.after(time.Millisecond+w.upTo(100*time.Millisecond), func() {
@@ -194,60 +186,53 @@
 func (o *modelOwner) enqueue(id order.WorkerID, c Command) {
 	q := o.queues[id]
 	if q == nil {
-		q = &modelQueue{}
+		q = &orderQueue{}
 		o.queues[id] = q
 	}
-	q.waiting = append(q.waiting, c)
+	if !q.add(c) {
+		o.handle(orderResult(c, 0, ErrNotSent))
+	}
 	o.sendNext(q)
 }
 
-func (o *modelOwner) sendNext(q *modelQueue) {
-	for q.open < maxOrdersPerWorker && len(q.waiting) > 0 && !o.dead {
-		c := q.waiting[0]
-		q.waiting = q.waiting[1:]
-		q.open++
-		o.send(q, c, 1, nil)
+func (o *modelOwner) sendNext(q *orderQueue) {
+	if o.dead {
+		return
+	}
+	for c, ok := q.next(); ok; c, ok = q.next() {
+		_, p := orderOf(c)
+		o.send(q, c, &delivery{permit: p})
 	}
 }
 
-// send makes one attempt to send an order, as sendWithRetry does.
-func (o *modelOwner) send(q *modelQueue, c Command, try int, unconfirmed error) {
+// send makes one attempt to send an order.
+func (o *modelOwner) send(q *orderQueue, c Command, d *delivery) {
 	w := o.world
 	if o.dead {
 		return
 	}
 	if o.frozen(w.now) {
-		w.after(o.frozenUntil.Sub(w.now), func() { o.send(q, c, try, unconfirmed) })
+		w.after(o.frozenUntil.Sub(w.now), func() { o.send(q, c, d) })
 		return
 	}
 	finish := func(clock int64, err error) {
-		q.open--
+		q.done()
 		o.handle(orderResult(c, clock, err))
 		o.sendNext(q)
 	}
-	to, p := orderOf(c)
-	if !p.use(w.now) {
-		if unconfirmed == nil {
-			unconfirmed = errWithdrawn
-		}
-		finish(0, unconfirmed)
+	timeout, err := d.begin(w.now)
+	if err != nil {
+		finish(0, err)
 		return
 	}
-	timeout := earlyOrderTimeout
-	if try == maxOrderTries {
-		timeout = orderTimeout
-	}
 	result := func(clock int64, err error) {
-		var refused *RefusedError
-		switch {
-		case err == nil || unconfirmed == nil && (errors.As(err, &refused) || errors.Is(err, ErrNotSent)):
+		if err, done := d.end(err); done {
 			finish(clock, err)
-		case try == maxOrderTries:
-			finish(clock, cmp.Or(unconfirmed, err))
-		default:
-			o.send(q, c, try+1, cmp.Or(unconfirmed, err))
+			return
 		}
+		o.send(q, c, d)
 	}
+	to, _ := orderOf(c)
 	w.network.carry(o, to, timeout, func(m *modelWorker, from sender, answer func(func())) {
 		clock, err := m.carryOut(c, from)
 		answer(func() { result(clock, err) })
--- a/scheduler/runner.go
+++ b/scheduler/runner.go
@@ -18,14 +18,17 @@
 	// Runner runs the scheduler of a cell: it collects inputs, executes the
 	// commands that follow from them, and feeds the results back.
 	Runner struct {
-		scheduler   *Scheduler
-		clock       timers.Clock
-		store       storage.Batcher
-		workers     WorkerClient
-		sender      order.Sender
-		log         zerolog.Logger
-		inbox       chan Msg
-		orderQueues map[order.WorkerID]chan Command
+		scheduler *Scheduler
+		clock     timers.Clock
+		store     storage.Batcher
+		workers   WorkerClient
+		sender    order.Sender
+		log       zerolog.Logger
+		inbox     chan Msg
+
+		// ordersMu guards orderQueues, which has the workers with orders.
+		ordersMu    sync.Mutex
+		orderQueues map[order.WorkerID]*orderQueue
 		wg          sync.WaitGroup
 		failed      chan error
 
@@ -40,30 +43,12 @@
 	// with results of orders, and callers' requests are dropped.
 	inboxLength = 8192
 
-	// orderQueueLength limits the orders queued for one worker.
-	orderQueueLength = 256
-
-	// maxOrdersPerWorker is how many orders to one worker may be in flight.
-	maxOrdersPerWorker = 2
-
 	// gatherInterval is how long further inputs are collected for one round of
 	// decisions.
 	gatherInterval = 3 * time.Millisecond
 
 	// tickInterval limits how late a decision is that depends only on the time.
 	tickInterval = 20 * time.Millisecond
-
-	// orderTimeout is the timeout of the last attempt to send an order.
-	// Responses from the farthest domain arrive within 10 ms.
-	orderTimeout = 700 * time.Millisecond
-
-	// earlyOrderTimeout is the timeout of the earlier attempts. The tightest
-	// objective leaves 250 ms beside the work.
-	earlyOrderTimeout = 200 * time.Millisecond
-
-	// maxOrderTries is how often an order is sent. If one in twenty attempts
-	// has no response, one order in 8,000 stays unconfirmed.
-	maxOrderTries = 3
 )
 
 var (
@@ -85,7 +70,7 @@
 	return &Runner{
 		scheduler: scheduler, clock: clock, store: store, workers: workers, sender: sender, log: log,
 		inbox:       make(chan Msg, inboxLength),
-		orderQueues: make(map[order.WorkerID]chan Command),
+		orderQueues: make(map[order.WorkerID]*orderQueue),
 		failed:      make(chan error, maxInFlight),
 	}
 }
@@ -187,20 +172,23 @@
 	}()
 }
 
-// enqueueOrder queues an order for the goroutines of its worker. If the queue
-// is full, the worker does not respond, and the order fails at once.
+// enqueueOrder queues an order to a worker, and delivers it on a new goroutine
+// if not enough others are open. If the queue is full, the worker does not
+// respond, and the order fails at once.
 func (r *Runner) enqueueOrder(ctx context.Context, id order.WorkerID, cmd Command) {
-	queue, ok := r.orderQueues[id]
-	if !ok {
-		queue = make(chan Command, orderQueueLength)
+	r.ordersMu.Lock()
+	queue := r.orderQueues[id]
+	if queue == nil {
+		queue = &orderQueue{}
 		r.orderQueues[id] = queue
-		for range maxOrdersPerWorker {
-			r.spawn(func() { r.sendOrders(ctx, queue) })
-		}
 	}
-	select {
-	case queue <- cmd:
-	default:
+	queued := queue.add(cmd)
+	next, free := queue.next()
+	r.ordersMu.Unlock()
+	if free {
+		r.spawn(func() { r.sendOrders(ctx, id, next) })
+	}
+	if !queued {
 		r.log.Warn().Str("worker", string(id)).Msg("yard: order queue of worker full")
 		r.failOrder(cmd)
 	}
@@ -216,16 +204,25 @@
 	}
 }
 
-// sendOrders sends the queued orders of one worker, one after the other.
-func (r *Runner) sendOrders(ctx context.Context, queue <-chan Command) {
-	for {
-		select {
-		case cmd := <-queue:
-			r.sendOrder(ctx, cmd)
-		case <-ctx.Done():
-			return
-		}
+// sendOrders delivers the order, and then the queued ones of the worker, one
+// after the other.
+func (r *Runner) sendOrders(ctx context.Context, id order.WorkerID, cmd Command) {
+	for more := true; more; cmd, more = r.nextOrder(id) {
+		r.sendOrder(ctx, cmd)
+	}
+}
+
+// nextOrder returns the next order to a worker after one has its result.
+func (r *Runner) nextOrder(id order.WorkerID) (Command, bool) {
+	r.ordersMu.Lock()
+	defer r.ordersMu.Unlock()
+	queue := r.orderQueues[id]
+	queue.done()
+	next, ok := queue.next()
+	if queue.idle() {
+		delete(r.orderQueues, id)
 	}
+	return next, ok
 }
 
 // sendOrder sends an order with retries and delivers its result.
@@ -242,36 +239,20 @@
 
 // sendWithRetry sends an order until it gets a response, at most maxOrderTries
 // times and only while the permit holds. That is safe because a worker executes
-// the start or stop of a run once, however often it gets the order. If an
-// attempt had no response, a later refusal proves nothing, since the worker may
-// still execute the first one. The result then is the error of that first
-// attempt.
+// the start or stop of a run once, however often it gets the order.
 func (r *Runner) sendWithRetry(ctx context.Context, p *permit, send func(context.Context) (int64, error)) (int64, error) {
-	var unconfirmed error
-	for try := 1; ; try++ {
-		if ctx.Err() != nil || !p.use(r.clock.Now()) {
-			if unconfirmed != nil {
-				return 0, unconfirmed
-			}
-			return 0, errWithdrawn
+	d := delivery{permit: p}
+	for {
+		if ctx.Err() != nil {
+			return 0, d.abandon()
 		}
-		timeout := earlyOrderTimeout
-		if try == maxOrderTries {
-			timeout = orderTimeout
+		timeout, err := d.begin(r.clock.Now())
+		if err != nil {
+			return 0, err
 		}
 		clock, err := sendWithTimeout(ctx, timeout, send)
-		if err == nil {
-			return clock, nil
-		}
-		if unconfirmed == nil {
-			var refused *RefusedError
-			if errors.As(err, &refused) || errors.Is(err, ErrNotSent) {
-				return clock, err
-			}
-			unconfirmed = err
-		}
-		if try == maxOrderTries {
-			return clock, unconfirmed
+		if err, done := d.end(err); done {
+			return clock, err
 		}
 	}
 }
