Store the limit of a team with its jobs at each change

Cause: a changed limit was kept in memory only.

A change of the limit now counts as a change of the team's jobs, which are stored with it.

Evidence: TestTeamLimitHoldsAfterTeamIsRemoved takes the record from the batch that follows the change, and had no batch before.

--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -348,11 +348,13 @@
 }
 
 // updateLimits takes the limits of teams from the present configuration. The
-// jobs of a team that has been removed keep the last one.
+// jobs of a team that it has removed keep the last one. It is stored with them
+// at each change, since the next owner may find the team removed.
 func (m *Scheduler) updateLimits() {
 	for _, j := range m.active {
-		if m.config.HasTeam(j.team) {
-			j.limit = m.config.Limit(j.team)
+		if limit := m.config.Limit(j.team); limit != j.limit && m.config.HasTeam(j.team) {
+			j.limit = limit
+			m.markDirty(j)
 		}
 	}
 }
