Explore gangs, advice, teams, routes, drains and lasting jobs

Worlds of the seeds from 1000000 on have what the others lack: a second queue, and an operator who renames, exchanges, removes and adds queues, gives a removed name to another queue, changes the limit of a team, removes it and evacuates zones; steps with advice and tickets that end with a worker's life; gangs; jobs that last; workers that drain, leave and are replaced, that refuse starts for a while, or carry out half of the orders late; clients who ask how many jobs wait. REFUSED, DRAIN, EVAC and QUOTA are checked, MIXED for the number of waiting jobs, LOST for lasting tasks. The worlds of the earlier seeds are unchanged, so that listed seeds stand for the same runs.

--- a/scheduler/explore_check_test.go
+++ b/scheduler/explore_check_test.go
@@ -1,5 +1,5 @@
-// Models the rules of RULES.md, section "Jobs": TWICE, UNASKED, LIMIT, ORDER,
-// BUDGET, MIXED and LOST.
+// Models the rules of RULES.md, section "Jobs": TWICE, UNASKED, REFUSED, LIMIT,
+// ORDER, BUDGET, DRAIN, MIXED and LOST. QUOTA and EVAC stand with the operator.
 
 package scheduler
 
@@ -34,6 +34,7 @@
 const (
 	modelCancelBound  = 3 * time.Second
 	modelVisibleBound = 3 * time.Second
+	modelDrainBound   = 3 * time.Second
 )
 
 func newChecks(w *world) checks { return checks{world: w, tasks: make(map[TaskRef][]*modelRun)} }
@@ -50,6 +51,9 @@
 	c.starts++
 	c.twice(r, from)
 	c.unasked(r, from)
+	c.refused(r)
+	c.world.operator.checkStart(r, from)
+	c.drained(r, from)
 	if used+c.world.clients.size(r.task) > modelCapacity {
 		c.broke("LIMIT", "run %d of %s at %s beside %d", r.run, taskName(r.task), r.worker.id, used)
 	}
@@ -70,7 +74,7 @@
 			if e.noted && inTouch && c.world.now.Sub(e.notedAt) > time.Second {
 				c.broke("TWICE", "%s was done and taken note of", text)
 			}
-		case e.result == ResultFailed && !e.crashed:
+		case e.result == ResultFailed && !e.crashed && !c.world.clients.isLasting(r.task):
 			failed = append(failed, e)
 		}
 	}
@@ -104,6 +108,51 @@
 	c.broke(rule, "run %d of %s at %s by owner %d, cancelled %v before", r.run, taskName(r.task), r.worker.id, r.epoch, c.world.now.Sub(since))
 }
 
+// refused checks that the job of a start has a submission that was not refused.
+func (c *checks) refused(r *modelRun) {
+	if j := c.world.clients.byID[r.task.job]; j != nil && !j.accepted && j.open == 0 && j.unanswered == 0 {
+		c.broke("REFUSED", "run %d of %s at %s, refused %d times", r.run, taskName(r.task), r.worker.id, j.refused)
+	}
+}
+
+// drained checks a start on a worker that the store has had as draining.
+func (c *checks) drained(r *modelRun, from sender) {
+	since := r.worker.drainListedAt
+	if !since.IsZero() && !from.late && c.world.now.Sub(since) > modelDrainBound && c.world.network.inTouch(from.owner) {
+		c.broke("DRAIN", "run %d of %s at %s, draining for %v", r.run, taskName(r.task), r.worker.id, c.world.now.Sub(since))
+	}
+}
+
+// waiting checks the answer how many jobs of a queue wait.
+func (c *checks) waiting(o *modelOwner, route, answer int) {
+	w := c.world
+	r := w.operator.queues[route]
+	if !w.network.inTouch(o) || !r.listed || w.now.Sub(r.listedAt) < modelConfigBound {
+		return
+	}
+	count := 0
+	for _, j := range w.clients.jobs {
+		if j.route == route && j.accepted && w.now.Sub(j.acceptedAt) > modelVisibleBound+2*time.Second && !j.cancelled && !j.ended.Ended() && !c.begun(j) {
+			count++
+		}
+	}
+	if 2*answer < count {
+		c.broke("MIXED", "queue %s has %d waiting jobs by owner %d, %d have begun nothing", r.path, answer, o.epoch, count)
+	}
+}
+
+// begun reports whether any task of the job has had a run.
+func (c *checks) begun(j *modelJob) bool {
+	for step, s := range j.steps {
+		for i := range s.Tasks() {
+			if len(c.tasks[NewTaskRef(j.id, 0, step, i)]) > 0 {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // unknown checks the answer that there is no such job.
 func (c *checks) unknown(j *modelJob, o *modelOwner) {
 	if !j.cancelled && c.world.now.Sub(j.acceptedAt) > modelVisibleBound && c.world.network.inTouch(o) {
@@ -125,29 +174,39 @@
 	}
 }
 
-// done reports whether any run of the task has ended done.
+// done reports whether any run of the task has ended done, or one of any member
+// of its gang.
 func (c *checks) done(t TaskRef) bool {
-	for _, r := range c.tasks[t] {
-		if r.result == ResultDone {
-			return true
+	for _, member := range c.world.clients.members(t) {
+		for _, r := range c.tasks[member] {
+			if r.result == ResultDone {
+				return true
+			}
 		}
 	}
 	return false
 }
 
+// failures returns how many runs of the task, or of its gang, have failed.
+func (c *checks) failures(t TaskRef) int {
+	failed := make(map[int]bool)
+	for _, member := range c.world.clients.members(t) {
+		for _, r := range c.tasks[member] {
+			if r.result == ResultFailed {
+				failed[r.run] = true
+			}
+		}
+	}
+	return len(failed)
+}
+
 // shown checks the end of a job that a client was shown.
 func (c *checks) shown(j *modelJob) {
 	most, open := 0, 0
 	for step, s := range j.steps {
 		for i := range s.Tasks() {
 			t := NewTaskRef(j.id, 0, step, i)
-			failed := 0
-			for _, r := range c.tasks[t] {
-				if r.result == ResultFailed {
-					failed++
-				}
-			}
-			most = max(most, failed)
+			most = max(most, c.failures(t))
 			if !c.done(t) {
 				open++
 			}
--- a/scheduler/explore_client_test.go
+++ b/scheduler/explore_client_test.go
@@ -10,16 +10,21 @@
 
 type (
 	modelClients struct {
-		world    *world
-		jobs     []*modelJob
-		byID     map[order.JobID]*modelJob
-		calls    map[uint64]modelCall
+		world *world
+		jobs  []*modelJob
+		byID  map[order.JobID]*modelJob
+		calls map[uint64]modelCall
+
+		// counts has the queue of each question how many jobs wait there.
+		counts   map[uint64]int
 		lastCall uint64
 	}
 
 	modelJob struct {
 		id          order.JobID
 		steps       []order.JobStep
+		route       int
+		key         string
 		accepted    bool
 		acceptedAt  time.Time
 		cancelled   bool
@@ -28,6 +33,10 @@
 
 		// goneAt is when a cancel was first answered that there is no such job.
 		goneAt time.Time
+
+		// open counts the submissions without an answer yet, unanswered those
+		// that never got one, and refused those that were refused.
+		open, unanswered, refused int
 	}
 
 	modelCall struct {
@@ -37,10 +46,17 @@
 	}
 )
 
-const modelPatience = 2 * time.Second
+const (
+	modelPatience = 2 * time.Second
+
+	// exploreLastingChecked is how long after the last fault each lasting task
+	// must have a run, or must have had one within modelRestartBound.
+	exploreLastingChecked = 18 * time.Second
+	modelRestartBound     = 9 * time.Second
+)
 
 func newClients(w *world) modelClients {
-	return modelClients{world: w, byID: make(map[order.JobID]*modelJob), calls: make(map[uint64]modelCall)}
+	return modelClients{world: w, byID: make(map[order.JobID]*modelJob), calls: make(map[uint64]modelCall), counts: make(map[uint64]int)}
 }
 
 func (c *modelClients) run() {
@@ -54,18 +70,26 @@
 		w.after(200*time.Millisecond+w.upTo(1500*time.Millisecond), next)
 	}
 	w.after(time.Second, next)
+	if w.extended {
+		w.after(4*time.Second, c.askWaiting)
+	}
 }
 
 // submit hands in a job, which may be cancelled later or handed in twice.
 func (c *modelClients) submit() {
 	w := c.world
-	j := &modelJob{id: jobID(len(c.jobs))}
+	j := &modelJob{id: jobID(len(c.jobs)), key: testKey}
 	cpu := order.MilliCores(500 + 500*w.rand.IntN(6))
 	j.steps = []order.JobStep{exploreStep(1+w.rand.IntN(8), cpu)}
 	if w.chance(60) {
 		j.steps = append(j.steps, exploreStep(1+w.rand.IntN(4), cpu).WithAfter([]int{0}))
 	}
+	if w.extended {
+		c.extend(j, cpu)
+	}
 	c.jobs, c.byID[j.id] = append(c.jobs, j), j
+	w.trace("job %s of %s for %s: %d tasks of %v, gang %v, lasting %v", taskName(TaskRef{job: j.id}), j.key, w.operator.queues[j.route].path,
+		j.steps[0].Tasks(), cpu, j.steps[0].Gang(), j.lasting())
 	c.call(j, order.SubmitJob)
 	if w.chance(25) {
 		w.after(w.upTo(6*time.Second), func() { c.call(j, order.SubmitJob) })
@@ -76,6 +100,56 @@
 	w.after(5*time.Second, func() { c.ask(j) })
 }
 
+// askWaiting asks an owner how many jobs of a queue wait, from time to time.
+func (c *modelClients) askWaiting() {
+	w := c.world
+	route, o := w.rand.IntN(len(w.operator.queues)), w.owners[len(w.owners)-1]
+	c.lastCall++
+	c.counts[c.lastCall] = route
+	o.handle(NewCallMsg("client", order.JobCallMsg{}.WithCall(c.lastCall).WithVerb(order.CountWaiting).WithHost(testHost).
+		WithPath(w.operator.queues[route].path).WithKey(testKey)))
+	w.after(200*time.Millisecond+w.upTo(800*time.Millisecond), c.askWaiting)
+}
+
+// extend gives a job one of the further kinds.
+func (c *modelClients) extend(j *modelJob, cpu order.MilliCores) {
+	w := c.world
+	j.route = w.rand.IntN(len(w.operator.queues))
+	if w.chance(40) {
+		j.key = secondKey
+	}
+	switch w.rand.IntN(8) {
+	case 0, 1:
+		j.steps[0] = exploreStep(2+w.rand.IntN(4), cpu).WithGang(true)
+	case 2:
+		j.steps = []order.JobStep{exploreStep(1+w.rand.IntN(2), 500).WithLasting(true)}
+		w.after(exploreFaults+exploreLastingChecked-w.now.Sub(testStart), func() { c.checkLasting(j) })
+	}
+}
+
+// lasting reports whether the tasks of the job last until it is cancelled.
+func (j *modelJob) lasting() bool { return j.steps[0].Lasting() }
+
+// checkLasting checks that each task of a lasting job has a run, and cancels it.
+func (c *modelClients) checkLasting(j *modelJob) {
+	w := c.world
+	if !j.accepted || j.cancelled || j.ended.Ended() {
+		return
+	}
+	for i := range j.steps[0].Tasks() {
+		t := NewTaskRef(j.id, 0, 0, i)
+		running := false
+		for _, r := range w.checks.tasks[t] {
+			// A run that has just failed has some time to start again.
+			running = running || r.result == 0 || w.now.Sub(r.endedAt) < modelRestartBound
+		}
+		if !running {
+			w.checks.broke("LOST", "task %s has no run", taskName(t))
+		}
+	}
+	c.cancel(j)
+}
+
 func exploreStep(tasks int, cpu order.MilliCores) order.JobStep {
 	return order.JobStep{}.WithTasks(tasks).WithSize(order.NewResources(cpu, 1<<20, 0)).WithEstimate(time.Second)
 }
@@ -104,17 +178,26 @@
 	c.lastCall++
 	number := c.lastCall
 	c.calls[number] = modelCall{job: j, verb: verb, open: true}
+	key := testKey
+	if verb == order.SubmitJob {
+		key = j.key
+		j.open++
+	}
+	path := w.operator.path(j, verb)
 	o := w.owners[len(w.owners)-1]
 	if len(w.owners) > 1 && w.chance(10) {
 		o = w.owners[len(w.owners)-2]
 	}
 	w.after(time.Millisecond+w.upTo(10*time.Millisecond), func() {
 		o.handle(NewCallMsg("client", order.JobCallMsg{}.WithCall(number).WithVerb(verb).WithHost(testHost).
-			WithPath("/proofs/"+string(j.id)).WithKey(testKey).WithSpec(order.JobSpec{}.WithSteps(j.steps))))
+			WithPath(path+string(j.id)).WithKey(key).WithSpec(order.JobSpec{}.WithSteps(j.steps))))
 	})
 	w.after(modelPatience, func() {
 		if c.calls[number].open && verb != order.JobStatus {
 			delete(c.calls, number)
+			if verb == order.SubmitJob {
+				j.open, j.unanswered = j.open-1, j.unanswered+1
+			}
 			c.call(j, verb)
 		}
 	})
@@ -123,6 +206,10 @@
 // reply takes the answer of an owner.
 func (c *modelClients) reply(o *modelOwner, r order.JobReplyMsg) {
 	w := c.world
+	if route, ok := c.counts[r.Call()]; ok && r.Code() == order.Done {
+		w.checks.waiting(o, route, r.Waiting())
+		return
+	}
 	call, ok := c.calls[r.Call()]
 	if !ok || !call.open {
 		return
@@ -132,6 +219,14 @@
 	j := call.job
 	switch call.verb {
 	case order.SubmitJob:
+		j.open--
+		switch r.Code() {
+		case order.Done:
+		case order.OutcomeUnknown:
+			j.unanswered++
+		default:
+			j.refused++
+		}
 		if r.Code() == order.Done && !j.accepted {
 			j.accepted, j.acceptedAt = true, w.now
 			w.trace("job %s accepted by owner %d", taskName(TaskRef{job: j.id}), o.epoch)
@@ -185,3 +280,22 @@
 	}
 	return 0
 }
+
+// members returns the task, or all tasks of its gang.
+func (c *modelClients) members(t TaskRef) []TaskRef {
+	j := c.byID[t.job]
+	if j == nil || !j.steps[t.step].Gang() {
+		return []TaskRef{t}
+	}
+	var members []TaskRef
+	for i := range j.steps[t.step].Tasks() {
+		members = append(members, NewTaskRef(t.job, t.occurrence, t.step, i))
+	}
+	return members
+}
+
+// isLasting reports whether the task lasts until its job is cancelled.
+func (c *modelClients) isLasting(t TaskRef) bool {
+	j := c.byID[t.job]
+	return j != nil && j.lasting()
+}
--- a/scheduler/explore_discovery_test.go
+++ b/scheduler/explore_discovery_test.go
@@ -14,6 +14,8 @@
 	changes int
 }
 
+var modelDomains = [exploreZones]order.DomainName{"quay", "mole", "pier"}
+
 const (
 	modelHeartbeat = 1500 * time.Millisecond
 	modelSilence   = 3 * modelHeartbeat
@@ -27,7 +29,7 @@
 		same := m.life == life
 		if same && m.up && d.world.store.up && !d.world.network.workerStoreCut[m.zone] {
 			seenAt = d.world.now
-			if e, ok := d.entries[m.id]; !ok || e.incarnation != life {
+			if e, ok := d.entries[m.id]; !ok || e.incarnation != life || e.draining != m.draining {
 				d.set(m)
 			}
 		}
@@ -48,11 +50,29 @@
 	d.world.trace("entry of %s: life %d at %s", m.id, m.life, m.address)
 	info := workerInfo(m.id, m.life)
 	info.address = m.address
-	info.domain = order.DomainName([]string{"quay", "mole", "pier"}[m.zone])
+	info.domain, info.draining = modelDomains[m.zone], m.draining
+	if m.draining && m.drainListedAt.IsZero() {
+		m.drainListedAt = d.world.now
+	}
 	d.entries[m.id] = info
 	d.changes++
 }
 
+// refresh writes the entry of a worker that reaches the store.
+func (d *modelDiscovery) refresh(m *modelWorker) {
+	if d.world.store.up && !d.world.network.workerStoreCut[m.zone] {
+		d.set(m)
+	}
+}
+
+// remove removes the entry of a worker that has left, if it reaches the store.
+func (d *modelDiscovery) remove(m *modelWorker) {
+	if _, ok := d.entries[m.id]; ok && d.world.store.up && !d.world.network.workerStoreCut[m.zone] {
+		delete(d.entries, m.id)
+		d.changes++
+	}
+}
+
 // list gives an owner the present entries.
 func (d *modelDiscovery) list(o *modelOwner) {
 	if !d.world.store.reached(o.zone) || o.listedChanges == d.changes+1 {
--- a/scheduler/explore_network_test.go
+++ b/scheduler/explore_network_test.go
@@ -14,6 +14,9 @@
 		world *world
 		lossy bool
 
+		// ordersLate makes half of the orders go without a response.
+		ordersLate bool
+
 		// orderCut is by the zones of owner and worker, answerCut the other way
 		// back, and pairCut by the owner's zone and the worker.
 		orderCut       [exploreZones][exploreZones]bool
@@ -81,6 +84,7 @@
 	n.orderCut, n.answerCut = [exploreZones][exploreZones]bool{}, [exploreZones][exploreZones]bool{}
 	n.storeCut, n.workerStoreCut = [exploreZones]bool{}, [exploreZones]bool{}
 	clear(n.pairCut)
+	n.ordersLate = false
 	s := &n.world.store
 	s.up, s.noReads, s.noWrites = true, [exploreZones]bool{}, [exploreZones]bool{}
 }
@@ -104,7 +108,11 @@
 func (n *modelNetwork) fault() {
 	w := n.world
 	z := w.rand.IntN(exploreZones)
-	switch w.rand.IntN(8) {
+	kinds := 8
+	if w.extended {
+		kinds = 10
+	}
+	switch w.rand.IntN(kinds) {
 	case 0:
 		w.trace("no fault")
 	case 1, 2:
@@ -126,6 +134,13 @@
 		w.store.noReads[z] = w.chance(50)
 		w.store.noWrites[z] = !w.store.noReads[z]
 		w.trace("store refuses zone %d, reads %v, writes %v", z, w.store.noReads[z], w.store.noWrites[z])
+	case 8:
+		n.ordersLate = true
+		w.trace("half of the orders are carried out late")
+	case 9:
+		m := w.workers[w.rand.IntN(len(w.workers))]
+		m.busyUntil = w.now.Add(w.upTo(8 * time.Second))
+		w.trace("worker %s refuses starts", m.id)
 	}
 }
 
@@ -159,14 +174,18 @@
 		if w.calm {
 			return
 		}
-		m := w.workers[w.rand.IntN(exploreWorkers)]
-		if m.up {
+		m := w.workers[w.rand.IntN(len(w.workers))]
+		if m.up && !m.draining {
 			m.crash()
 			address := m.address
 			if w.chance(30) {
 				address += "0"
 			}
-			w.after(50*time.Millisecond+w.upTo(4*time.Second), func() { m.begin(address) })
+			w.after(50*time.Millisecond+w.upTo(4*time.Second), func() {
+				if !m.gone {
+					m.begin(address)
+				}
+			})
 		}
 		w.after(time.Second+w.upTo(20*time.Second), next)
 	}
@@ -175,6 +194,41 @@
 	}
 }
 
+// replaceWorkers drains workers, which leave and are replaced by others.
+func (w *world) replaceWorkers() {
+	if !w.extended {
+		return
+	}
+	var next func()
+	next = func() {
+		if w.calm {
+			return
+		}
+		if m := w.workers[w.rand.IntN(len(w.workers))]; m.up && !m.draining {
+			m.draining = true
+			w.trace("worker %s drains", m.id)
+			w.discovery.refresh(m)
+			w.after(2*time.Second+w.upTo(4*time.Second), func() { m.leave() })
+		}
+		w.after(2*time.Second+w.upTo(12*time.Second), next)
+	}
+	w.after(w.upTo(10*time.Second), next)
+}
+
+// leave ends a draining worker for good and begins another one in its place.
+func (m *modelWorker) leave() {
+	w := m.world
+	if !m.up || !m.draining {
+		return
+	}
+	m.crash()
+	m.gone = true
+	w.discovery.remove(m)
+	next := newModelWorker(w, len(w.workers))
+	next.place = m.place
+	w.workers = append(w.workers, next)
+}
+
 // carry brings an order to a worker. The owner hears the answer, or the error of
 // the order after the timeout.
 func (n *modelNetwork) carry(o *modelOwner, to WorkerAddress, timeout time.Duration, arrive func(*modelWorker, sender, func(func())), fail func(error)) {
@@ -199,6 +253,9 @@
 		}
 		c.lost = w.chance(2)
 	}
+	if n.ordersLate && w.chance(50) {
+		c.late, delay = true, 2*time.Second+w.upTo(10*time.Second)
+	}
 	receiver, _ := w.workerAt(to)
 	if c.late && receiver == nil {
 		return
--- a/scheduler/explore_owner_test.go
+++ b/scheduler/explore_owner_test.go
@@ -9,7 +9,6 @@
 
 	"chervilhollow/gauge"
 	"chervilhollow/order"
-	"chervilhollow/policy"
 	"chervilhollow/storage"
 )
 
@@ -26,7 +25,10 @@
 		frozenUntil   time.Time
 		decideDue     bool
 		listedChanges int
-		queues        map[order.WorkerID]*orderQueue
+
+		// documentChanges counts the operator's changes that the owner has.
+		documentChanges int
+		queues          map[order.WorkerID]*orderQueue
 	}
 )
 
@@ -50,16 +52,20 @@
 		o.Handle(w.now, NewConfirmedMsg(epoch, claimedAt, 0))
 		o.Restore(w.store.jobs())
 		o.RestoreWorkers(w.store.entries[WorkersKey])
-		o.Handle(w.now, NewConfigMsg(exploreConfig(), nil))
+		o.Handle(w.now, w.operator.documents())
+		o.documentChanges = w.operator.changes
 		o.run()
 	})
 	return o
 }
 
-func exploreConfig() *policy.Config {
-	q := policy.NewQueue(testQueue, testHost, "/proofs/", "press").WithAttempts(exploreAttempts).WithObjective(2, time.Second)
-	team := policy.NewTeam(testTeam, []string{testKey}, 100, order.Resources{})
-	return policy.NewConfig(1, []policy.Queue{q}, []policy.Team{team})
+// process returns the present ownership of the owner's process, which gets the
+// replies to requests of an earlier one.
+func (o *modelOwner) process() *modelOwner {
+	if latest := o.world.owners[len(o.world.owners)-1]; latest.zone == o.zone {
+		return latest
+	}
+	return o
 }
 
 // superviseOwners ends owners, freezes them, and lets others claim the cell,
@@ -116,6 +122,7 @@
 			w.store.confirm(o)
 		}
 		w.discovery.list(o)
+		w.operator.list(o)
 		ticks++
 		o.decide()
 		w.after(tickInterval, tick)
@@ -177,8 +184,11 @@
 	case CommitCmd:
 		o.world.store.commit(o, c)
 	case SendCmd:
-		if r, ok := c.msg.(order.JobReplyMsg); ok {
-			o.world.clients.reply(o, r)
+		switch m := c.msg.(type) {
+		case order.JobReplyMsg:
+			o.world.clients.reply(o, m)
+		case order.AdviceRequestMsg:
+			o.world.advice.advise(o, m)
 		}
 	}
 }
--- a/scheduler/explore_test.go
+++ b/scheduler/explore_test.go
@@ -10,7 +10,8 @@
 )
 
 const (
-	// exploreFirst and exploreCount are the seeds of each plain run of the tests.
+	// exploreFirst and exploreCount are the seeds of each plain run of the tests,
+	// and as many extended worlds.
 	exploreFirst = 101
 	exploreCount = 50
 )
@@ -38,7 +39,17 @@
 		}
 		return
 	}
-	first, count := exploreSetting(t, "EXPLORE_FROM", exploreFirst), exploreSetting(t, "EXPLORE_SEEDS", exploreCount)
+	if os.Getenv("EXPLORE_FROM") == "" {
+		exploreSeeds(t, exploreFirst, exploreCount)
+		exploreSeeds(t, exploreExtended+exploreFirst, exploreCount)
+		return
+	}
+	exploreSeeds(t, exploreSetting(t, "EXPLORE_FROM", exploreFirst), exploreSetting(t, "EXPLORE_SEEDS", exploreCount))
+}
+
+// exploreSeeds plays the seeds from the first one on. With EXPLORE_STOP it ends
+// at the first that fails.
+func exploreSeeds(t *testing.T, first, count uint64) {
 	begin, starts, claims, failed := time.Now(), 0, 0, 0
 	for seed := first; seed < first+count; seed++ {
 		w := explore(seed, false)
@@ -46,6 +57,9 @@
 		if len(w.checks.broken) > 0 {
 			failed++
 			t.Errorf("seed %d after %.1f s: %d broken, first %s", seed, time.Since(begin).Seconds(), len(w.checks.broken), w.checks.broken[0])
+			if os.Getenv("EXPLORE_STOP") != "" {
+				return
+			}
 		}
 		if done := seed - first + 1; done%500 == 0 {
 			t.Logf("%d seeds, %d failed, %.1f s", done, failed, time.Since(begin).Seconds())
--- a/scheduler/explore_worker_test.go
+++ b/scheduler/explore_worker_test.go
@@ -16,6 +16,9 @@
 		id      order.WorkerID
 		zone    int
 		address string
+
+		// place is that of the first worker which this one replaces.
+		place   int
 		up      bool
 		life    int64
 		bornAt  time.Time
@@ -27,6 +30,13 @@
 		ended   []*modelRun
 		stopped map[TaskRef]int
 		waiting []*heldPoll
+
+		// busyUntil is how long the worker refuses starts, and drainListedAt when
+		// the store first had the worker as draining.
+		busyUntil     time.Time
+		draining      bool
+		drainListedAt time.Time
+		gone          bool
 	}
 
 	modelRun struct {
@@ -39,6 +49,7 @@
 		lapsed  bool
 		noted   bool
 		notedAt time.Time
+		endedAt time.Time
 		epoch   order.Epoch
 	}
 
@@ -58,7 +69,7 @@
 )
 
 func newModelWorker(w *world, number int) *modelWorker {
-	m := &modelWorker{world: w, id: order.WorkerID(fmt.Sprintf("w%d", number)), zone: number % exploreZones}
+	m := &modelWorker{world: w, id: order.WorkerID(fmt.Sprintf("w%d", number)), zone: number % exploreZones, place: number}
 	m.begin(fmt.Sprintf("10.0.1.%d:80", number))
 	m.bornAt = w.now.Add(-w.upTo(100 * time.Second))
 	return m
@@ -81,10 +92,12 @@
 	m.up = false
 	for _, r := range m.runs {
 		if r.result == 0 {
-			r.result, r.crashed = ResultLeaseExpired, true
+			r.result, r.crashed, r.endedAt = ResultLeaseExpired, true, m.world.now
+			m.world.gangs.broken(r)
 		}
 	}
 	m.runs, m.ended, m.waiting = nil, nil, nil
+	m.draining, m.drainListedAt = false, time.Time{}
 }
 
 func (m *modelWorker) clock() int64 {
@@ -149,6 +162,12 @@
 	if m.stopped[o.task] >= o.run {
 		return m.refuse(RefusedKnownRun)
 	}
+	if m.world.now.Before(m.busyUntil) {
+		return m.refuse(RefusedBusy)
+	}
+	if !m.world.advice.accepts(m, o) {
+		return m.refuse(RefusedTicket)
+	}
 	if m.world.guarded && used+m.world.clients.size(o.task) > modelCapacity {
 		return m.refuse(RefusedNoCapacity)
 	}
@@ -156,10 +175,20 @@
 	m.world.trace("worker %s starts run %d of %s for epoch %d, life %d, late %v", m.id, o.run, taskName(o.task), o.epoch, m.life, from.late)
 	m.world.checks.started(r, from, used)
 	m.runs = append(m.runs, r)
+	if j := m.world.clients.byID[o.task.job]; j != nil && j.steps[o.task.step].Gang() {
+		m.world.gangs.join(r, j.steps[o.task.step].Tasks())
+		return m.clock(), nil
+	}
 	result := ResultDone
 	if m.world.chance(8) {
 		result = ResultFailed
 	}
+	if m.world.clients.isLasting(o.task) {
+		if result == ResultFailed {
+			m.world.after(m.world.upTo(2*exploreLongest), func() { m.end(r, result) })
+		}
+		return m.clock(), nil
+	}
 	m.world.after(50*time.Millisecond+m.world.upTo(exploreLongest-50*time.Millisecond), func() { m.end(r, result) })
 	return m.clock(), nil
 }
@@ -169,9 +198,12 @@
 		return
 	}
 	m.last++
-	r.result, r.number = result, m.last
+	r.result, r.number, r.endedAt = result, m.last, m.world.now
 	m.world.trace("worker %s ends run %d of %s as %v, number %d", m.id, r.run, taskName(r.task), result, r.number)
 	m.ended = append(m.ended, r)
+	if result != ResultDone {
+		m.world.gangs.broken(r)
+	}
 	waiting := m.waiting
 	m.waiting = nil
 	for _, p := range waiting {
--- a/scheduler/explore_world_test.go
+++ b/scheduler/explore_world_test.go
@@ -29,10 +29,17 @@
 		network   modelNetwork
 		clients   modelClients
 		discovery modelDiscovery
+		operator  modelOperator
+		advice    modelAdvice
+		gangs     modelGangs
 		checks    checks
 		calm      bool
 		pageSize  int
 		guarded   bool
+
+		// extended worlds also have gangs, advice, teams, lasting jobs, drains,
+		// unhealthy workers and an operator.
+		extended bool
 	}
 
 	event struct {
@@ -56,6 +63,10 @@
 	exploreLongest  = 5 * time.Second
 	exploreZones    = 3
 	exploreWorkers  = 6
+
+	// exploreExtended is the first seed of an extended world. The worlds of the
+	// seeds before it stay as they were when these failed.
+	exploreExtended = 1_000_000
 )
 
 func (h eventHeap) Len() int { return len(h) }
@@ -77,12 +88,15 @@
 
 // explore plays one seed.
 func explore(seed uint64, traced bool) *world {
-	w := &world{rand: rand.New(rand.NewPCG(seed, 28)), now: testStart, traced: traced}
+	w := &world{rand: rand.New(rand.NewPCG(seed, 28)), now: testStart, traced: traced, extended: seed >= exploreExtended}
 	w.checks = newChecks(w)
 	w.store = modelStore{world: w, entries: make(map[string]storage.Entry), version: 10, up: true}
 	w.network = newNetwork(w)
 	w.clients = newClients(w)
 	w.discovery = modelDiscovery{world: w, entries: make(map[order.WorkerID]WorkerInfo)}
+	w.operator = newOperator(w)
+	w.advice = modelAdvice{world: w, tickets: make(map[string]modelTicket)}
+	w.gangs = modelGangs{world: w, runs: make(map[gangRun][]*modelRun)}
 	w.pageSize, w.guarded = []int{500, 5, 2}[w.rand.IntN(3)], w.rand.IntN(2) == 0
 	for i := range exploreWorkers {
 		w.workers = append(w.workers, newModelWorker(w, i))
@@ -90,6 +104,8 @@
 	w.claim(0)
 	w.network.run()
 	w.clients.run()
+	w.operator.run()
+	w.replaceWorkers()
 	w.superviseOwners()
 	w.play()
 	w.checks.finish()
@@ -127,6 +143,16 @@
 	}
 }
 
+// worker returns the worker with the ID, or nil.
+func (w *world) worker(id order.WorkerID) *modelWorker {
+	for _, m := range w.workers {
+		if m.id == id {
+			return m
+		}
+	}
+	return nil
+}
+
 func taskName(t TaskRef) string {
 	return fmt.Sprintf("%s.%d.%d.%d", strings.TrimLeft(string(t.job), "0"), t.occurrence, t.step, t.index)
 }
