Ignore a confirming read from before the present claim

What callers saw (by reading, knowledge of a former ownership): a process that lost the cell and took it again could give it up at once, and calls then waited for another takeover.

Cause: the reads that confirm the ownership run beside the claims. One that the store had answered before the claim has the earlier record, and any other version counted as a change by a later owner.

Only a later version is one. An earlier version ends nothing and confirms nothing.

Test that failed before: TestReadFromBeforeTheClaimDoesNotEndOwnership, "not true: isOwner".

--- a/election/elector.go
+++ b/election/elector.go
@@ -680,7 +680,9 @@
 	e.mu.Unlock()
 	switch {
 	case !isOwner:
-	case stored.Version() != version:
+	case stored.Version() < version:
+		// The store answered before this process claimed the cell again.
+	case stored.Version() > version:
 		e.StepDown("the ownership record has changed")
 	default:
 		e.mu.Lock()
--- a/election/elector_test.go
+++ b/election/elector_test.go
@@ -268,3 +268,34 @@
 		}
 	}
 }
+
+// oldReadStore answers a read of the ownership record as of an earlier time.
+type oldReadStore struct {
+	*storage.Memory
+	earlier storage.Entry
+}
+
+func (s *oldReadStore) Get(context.Context, string) (storage.Entry, error) { return s.earlier, nil }
+
+// A read that an earlier ownership of this process sent, and that the store had
+// answered before the present claim, must not end the present ownership.
+func TestReadFromBeforeTheClaimDoesNotEndOwnership(t *testing.T) {
+	is := is.New(t)
+	store := &oldReadStore{Memory: storage.NewMemory(timers.New())}
+	version, err := store.Swap(context.Background(), ownerKey, 0, []byte("earlier"), 0)
+	is.NoErr(err)
+	store.earlier = storage.NewEntry(ownerKey, []byte("earlier"), version)
+	e := newElector("10.0.0.1:7000/a", store)
+	e.version = version
+	is.NoErr(e.tryClaim(context.Background()))
+	acquired := waitAcquired(t, e)
+	e.confirm(context.Background())
+	_, epoch, isOwner := e.Owner()
+	is.True(isOwner)
+	is.Equal(epoch, acquired.Epoch())
+	is.Equal(e.confirmedAt, acquired.ClaimedAt()) // and confirms nothing
+	store.earlier = storage.NewEntry(ownerKey, []byte("later"), e.version+1)
+	e.confirm(context.Background())
+	_, _, isOwner = e.Owner()
+	is.True(!isOwner)
+}
