--- a/scheduler/explore_network_test.go
+++ b/scheduler/explore_network_test.go
@@ -305,6 +305,11 @@
 		if c.late || c.lost || c.cut() || c.network.answerCut[c.owner.zone][c.zone()] {
 			return
 		}
-		w.after(time.Millisecond+w.upTo(7*time.Millisecond), func() { c.settle(result) })
+		delay := time.Millisecond + w.upTo(7*time.Millisecond)
+		if w.extended && c.network.lossy && w.chance(5) {
+			// Answers on other connections overtake it.
+			delay += w.upTo(500 * time.Millisecond)
+		}
+		w.after(delay, func() { c.settle(result) })
 	})
 }
