--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -26,6 +26,10 @@
 		// acceptedBy is the queue as defined when it accepted the job.
 		acceptedBy policy.Queue
 
+		// presentQueue is the queue by the configuration queueOfConfig.
+		presentQueue  policy.Queue
+		queueOfConfig *policy.Config
+
 		// limit is the limit of the team in the last configuration that has it.
 		limit order.Resources
 
@@ -331,10 +335,14 @@
 // defined when it accepted the job if it has been removed since. It reports
 // false if a job of an earlier version lacks that definition.
 func (m *Scheduler) queueOf(j *job) (policy.Queue, bool) {
-	if q, ok := m.presentQueue(j); ok {
-		return q, true
+	if j.queueOfConfig != m.config {
+		j.queueOfConfig = m.config
+		var ok bool
+		if j.presentQueue, ok = m.presentQueue(j); !ok {
+			j.presentQueue = j.acceptedBy
+		}
 	}
-	return j.acceptedBy, j.acceptedBy.Service() != ""
+	return j.presentQueue, j.presentQueue.Service() != ""
 }
 
 // presentQueue returns the job's queue by the present configuration. It reports
