--- a/scheduler/advice.go
+++ b/scheduler/advice.go
@@ -189,7 +189,7 @@
 	until := now.Add(queue.Advice().Validity() - ticketMargin)
 	granted := 0
 	for _, t := range r.Tickets() {
-		if w := m.workers[t.Worker()]; w != nil && req.sentAt.Before(w.restartedAt) {
+		if m.restartedSince(t.Worker(), req.sentAt) {
 			continue
 		}
 		if !s.requestedWorkers[t.Worker()] {
@@ -202,7 +202,7 @@
 	}
 	named := 0
 	for _, id := range req.workers {
-		if w := m.workers[id]; w != nil && req.sentAt.Before(w.restartedAt) {
+		if m.restartedSince(id, req.sentAt) {
 			continue
 		}
 		if !s.requestedWorkers[id] {
@@ -214,6 +214,13 @@
 	m.registry.Observe("yard.advice", now.Sub(req.sentAt))
 }
 
+// restartedSince reports whether this owner has learned of a restart of the
+// worker after the given time.
+func (m *Scheduler) restartedSince(id order.WorkerID, t time.Time) bool {
+	w := m.workers[id]
+	return w != nil && t.Before(w.restartedAt)
+}
+
 // dropTickets drops the tickets of a worker that has restarted, as they end with
 // its life, so that the steps request new ones.
 func (m *Scheduler) dropTickets(id order.WorkerID) {
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -338,17 +338,17 @@
 	if j.queueOfConfig != m.config {
 		j.queueOfConfig = m.config
 		var ok bool
-		if j.presentQueue, ok = m.presentQueue(j); !ok {
+		if j.presentQueue, ok = m.findQueue(j); !ok {
 			j.presentQueue = j.acceptedBy
 		}
 	}
 	return j.presentQueue, j.presentQueue.Service() != ""
 }
 
-// presentQueue returns the job's queue by the present configuration. It reports
+// findQueue returns the job's queue by the present configuration. It reports
 // false if that has none. The queue of a job without a stored definition can be
 // found by its name only.
-func (m *Scheduler) presentQueue(j *job) (policy.Queue, bool) {
+func (m *Scheduler) findQueue(j *job) (policy.Queue, bool) {
 	if j.acceptedBy.Service() == "" {
 		return m.config.Queue(j.queue)
 	}
@@ -371,7 +371,7 @@
 func (m *Scheduler) logRemovedQueues() {
 	count := make(map[order.QueueName]int)
 	for _, j := range m.active {
-		if _, ok := m.presentQueue(j); !ok {
+		if _, ok := m.findQueue(j); !ok {
 			count[j.queue]++
 		}
 	}
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -320,8 +320,8 @@
 		return o
 	}
 	o.wait = pollWait
+	// After an order without a response another life may be there as well.
 	if !w.unresponsive {
-		// Another life may have taken the place of the one that did not respond.
 		o.acked = w.acked
 	}
 	if len(w.attempts) == 0 {
