Count done tasks that an earlier owner may repeat against their team

Together they ran beyond the team's limit.

Cause: the sum of what may run on workers without a report had only tasks that the new owner knows to wait. What it took note of itself can't be known to the earlier owner.

Until the cell is recovered, tasks whose end this owner took note of count too, within the capacity of the workers without a report.

Test that failed before: TestNewOwnerCountsDoneTasksThatMayBeRepeated, "2 != 0". TestMostUnreportedCountsSuccessors is TestMostWaitingCountsSuccessors, renamed with the function that it calls; its assertions are the same.

--- a/scheduler/attempt.go
+++ b/scheduler/attempt.go
@@ -375,7 +375,7 @@
 		if member.state == taskDone {
 			continue
 		}
-		member.state = taskDone
+		member.state, member.doneIn = taskDone, m.epoch
 		s.done++
 		if member.attempt != nil && member.attempt.run != e.run {
 			m.stop(now, member.attempt)
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -120,7 +120,8 @@
 	}
 
 	// task is one task of a step with its current attempt. failedOn also has
-	// the workers where it stalled.
+	// the workers where it stalled. doneIn is the epoch in which this owner took
+	// note that it was done.
 	task struct {
 		step       *step
 		index      int
@@ -129,6 +130,7 @@
 		failedRuns []int
 		failedOn   []order.WorkerID
 		checkpoint string
+		doneIn     order.Epoch
 		attempt    *attempt
 	}
 
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -459,6 +459,25 @@
 	d.is.True(!started) // w2 may run two tasks of the team
 }
 
+// A former owner that can't hear of an end may repeat the run on a worker that
+// has not reported to the new one.
+func TestNewOwnerCountsDoneTasksThatMayBeRepeated(t *testing.T) {
+	d := newSuccessor(t, order.NewResources(2500, 0, 0), []order.JobStep{smallStep(2)}, []order.WorkerID{"w1", "w2"}, "w1", "w2")
+	ends := []EndedTask{
+		NewEndedTask(1, NewTaskRef(testJob, 0, 0, 0), 1, ResultDone, ""),
+		NewEndedTask(2, NewTaskRef(testJob, 0, 0, 1), 1, ResultDone, ""),
+	}
+	d.answerPoll("w1", nil, ends)
+	d.is.Equal(d.m.jobs[testJob].state, order.JobCompleted)
+	d.submit(1, smallStep(2))
+	d.commitAll()
+	d.advance(time.Second)
+	d.is.Equal(d.startedOf(jobID(1)), 0) // w2 may run both tasks again
+	d.answerPoll("w2", nil, nil)
+	d.advance(time.Second)
+	d.is.Equal(d.startedOf(jobID(1)), 2)
+}
+
 // A part of a gang that has reported must not make the rest uncounted: all its
 // members run.
 func TestNewOwnerCountsRestOfGang(t *testing.T) {
@@ -538,18 +557,18 @@
 
 // The store may lack the last end of a step whose successor runs already. The
 // successor's tasks count too, but not beside those of the step.
-func TestMostWaitingCountsSuccessors(t *testing.T) {
+func TestMostUnreportedCountsSuccessors(t *testing.T) {
 	d := newDriver(t, testEpoch)
 	job := newJob(testJob, testQueue, testTeam, order.JobSpec{}.WithSteps([]order.JobStep{
 		smallStep(2), smallStep(5).WithAfter([]int{0}), smallStep(3).WithAfter([]int{1}),
 	}), testStart, 1)
-	d.is.Equal(job.mostWaiting(d.now).Cores(), smallStep(1).Size().Cores()*5)
+	d.is.Equal(job.mostUnreported(d.now, testEpoch).Cores(), smallStep(1).Size().Cores()*5)
 	job.steps[0].tasks[0].state, job.steps[0].done = taskDone, 1
-	d.is.Equal(job.mostWaiting(d.now).Cores(), smallStep(1).Size().Cores()*5)
+	d.is.Equal(job.mostUnreported(d.now, testEpoch).Cores(), smallStep(1).Size().Cores()*5)
 	for _, task := range job.steps[1].tasks {
 		task.state = taskDone
 	}
-	d.is.Equal(job.mostWaiting(d.now).Cores(), smallStep(1).Size().Cores()*3)
+	d.is.Equal(job.mostUnreported(d.now, testEpoch).Cores(), smallStep(1).Size().Cores()*3)
 }
 
 // If the stop of an unconfirmed run has no response either, it must be sent
--- a/scheduler/unconfirmed.go
+++ b/scheduler/unconfirmed.go
@@ -33,14 +33,14 @@
 	}
 	most := make(map[share]order.Resources)
 	for _, j := range m.jobs {
-		if j.epoch >= m.epoch || j.state == order.JobCompleted || (j.state.Ended() && now.Sub(j.ended) > m.limits.maxLease) {
+		if j.epoch >= m.epoch || (j.state.Ended() && now.Sub(j.ended) > m.limits.maxLease) {
 			continue
 		}
 		key := share{team: j.team}
 		if q, ok := m.queueOf(j); ok {
 			key.service = q.Service()
 		}
-		most[key] = most[key].Plus(j.mostWaiting(now))
+		most[key] = most[key].Plus(j.mostUnreported(now, m.epoch))
 	}
 	usage := make(map[order.TeamName]order.Resources)
 	bounds := make(map[string]order.Resources)
@@ -80,21 +80,23 @@
 	return total
 }
 
-// mostWaiting returns the most that waiting tasks of the job can use at a time.
-// A step may run although the store lacks the last ends of the steps before it,
-// but not beside them.
-func (j *job) mostWaiting(now time.Time) order.Resources {
+// mostUnreported returns the most that tasks of the job can use at a time which
+// this owner does not know to run. A step may run although the store lacks the
+// last ends of the steps before it, but not beside them.
+func (j *job) mostUnreported(now time.Time, epoch order.Epoch) order.Resources {
 	var total order.Resources
 	after := make([]order.Resources, len(j.steps))
 	for i := len(j.steps) - 1; i >= 0; i-- {
 		s := j.steps[i]
-		var waiting order.Resources
+		var unreported order.Resources
 		for _, t := range s.tasks {
-			if t.state == taskWaiting && !s.notBefore().After(now) {
-				waiting = waiting.Plus(s.spec.Size())
+			waiting := t.state == taskWaiting && j.state != order.JobCompleted && !s.notBefore().After(now)
+			// An earlier owner that has not heard of the end may repeat the run.
+			if waiting || t.doneIn == epoch {
+				unreported = unreported.Plus(s.spec.Size())
 			}
 		}
-		most := waiting.Max(after[i])
+		most := unreported.Max(after[i])
 		if before := s.spec.After(); len(before) > 0 {
 			first := i - s.index + before[0]
 			after[first] = after[first].Plus(most)
