Repeat clients' calls in the explorer, and show the owners' log lines

In extended worlds an entry host sends a call without an answer again, which may wait in the queue of a link for 2 s, and drops refusals of former owners.

--- a/scheduler/explore_client_test.go
+++ b/scheduler/explore_client_test.go
@@ -49,6 +49,11 @@
 const (
 	modelPatience = 2 * time.Second
 
+	// modelResend is when an entry host repeats a call without an answer, and
+	// modelMessageAge how long a message may wait in the queue of a link.
+	modelResend     = 700 * time.Millisecond
+	modelMessageAge = 2 * time.Second
+
 	// exploreLastingChecked is how long after the last fault each lasting task
 	// must have a run, or must have had one within modelRestartBound.
 	exploreLastingChecked = 18 * time.Second
@@ -188,10 +193,12 @@
 	if len(w.owners) > 1 && w.chance(10) {
 		o = w.owners[len(w.owners)-2]
 	}
-	w.after(time.Millisecond+w.upTo(10*time.Millisecond), func() {
-		o.handle(NewCallMsg("client", order.JobCallMsg{}.WithCall(number).WithVerb(verb).WithHost(testHost).
-			WithPath(path+string(j.id)).WithKey(key).WithSpec(order.JobSpec{}.WithSteps(j.steps))))
-	})
+	msg := NewCallMsg("client", order.JobCallMsg{}.WithCall(number).WithVerb(verb).WithHost(testHost).
+		WithPath(path+string(j.id)).WithKey(key).WithSpec(order.JobSpec{}.WithSteps(j.steps)))
+	w.after(time.Millisecond+w.upTo(10*time.Millisecond), func() { o.handle(msg) })
+	if w.extended {
+		w.after(modelResend, func() { c.resend(number, msg) })
+	}
 	w.after(modelPatience, func() {
 		if c.calls[number].open && verb != order.JobStatus {
 			delete(c.calls, number)
@@ -203,6 +210,22 @@
 	})
 }
 
+// resend sends a copy of a call without an answer to the present owner, as an
+// entry host does. It may wait in the queue of a link.
+func (c *modelClients) resend(number uint64, msg CallMsg) {
+	w := c.world
+	if !c.calls[number].open {
+		return
+	}
+	delay := time.Millisecond + w.upTo(10*time.Millisecond)
+	if w.network.lossy && w.chance(20) {
+		delay += w.upTo(modelMessageAge)
+	}
+	o := w.owners[len(w.owners)-1]
+	w.after(delay, func() { o.handle(msg) })
+	w.after(modelResend, func() { c.resend(number, msg) })
+}
+
 // reply takes the answer of an owner.
 func (c *modelClients) reply(o *modelOwner, r order.JobReplyMsg) {
 	w := c.world
@@ -214,6 +237,10 @@
 	if !ok || !call.open {
 		return
 	}
+	if w.extended && r.Code() != order.Done && o != w.owners[len(w.owners)-1] {
+		// An entry host drops the refusal of a former owner.
+		return
+	}
 	call.open = false
 	c.calls[r.Call()] = call
 	j := call.job
--- a/scheduler/explore_owner_test.go
+++ b/scheduler/explore_owner_test.go
@@ -48,7 +48,7 @@
 		}
 		registry := gauge.New(zerolog.Nop())
 		registry.SetStrict(false)
-		o.Scheduler = New(testMember, epoch, o.record, NewLimits(modelMaxHold, time.Hour).WithWriteRate(400), w.now, registry, zerolog.Nop())
+		o.Scheduler = New(testMember, epoch, o.record, NewLimits(modelMaxHold, time.Hour).WithWriteRate(400), w.now, registry, w.log())
 		o.Handle(w.now, NewConfirmedMsg(epoch, claimedAt, 0))
 		o.Restore(w.store.jobs())
 		o.RestoreWorkers(w.store.entries[WorkersKey])
--- a/scheduler/explore_world_test.go
+++ b/scheduler/explore_world_test.go
@@ -4,9 +4,12 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"os"
 	"strings"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"chervilhollow/order"
 	"chervilhollow/storage"
 )
@@ -136,6 +139,15 @@
 
 func (w *world) chance(percent int) bool { return w.rand.IntN(100) < percent }
 
+// log returns the log of an owner. With EXPLORE_LOG its lines go to the timeline,
+// whose order may then differ between two runs of a seed.
+func (w *world) log() zerolog.Logger {
+	if !w.traced || os.Getenv("EXPLORE_LOG") == "" {
+		return zerolog.Nop()
+	}
+	return zerolog.New(&w.timeline)
+}
+
 // trace adds a line to the timeline.
 func (w *world) trace(format string, args ...any) {
 	if w.traced {
