Count only tasks found done as ones that an earlier owner may repeat

Since all tasks whose end a new owner took note of counted against their team until the cell was recovered.

An earlier owner repeats a run only if it gave it up, after the worker's lease had lapsed, which ends the run. A run that the new owner knew of while it worked can't be one of these. So only tasks that it finds done, without having known of the run, count.

--- a/scheduler/attempt.go
+++ b/scheduler/attempt.go
@@ -347,7 +347,7 @@
 	switch e.result {
 	case ResultDone:
 		w.recordSuccess(now)
-		m.finishTask(now, t, e)
+		m.finishTask(now, t, e, a != nil)
 		return j
 	case ResultFailed:
 		m.recordFailure(now, w, t, e)
@@ -361,8 +361,9 @@
 }
 
 // finishTask marks a task as done. When one member of a gang is done, all of
-// them are. A long-running task is never done.
-func (m *Scheduler) finishTask(now time.Time, t *task, e EndedTask) {
+// them are. A long-running task is never done. known reports whether this owner
+// knew of the run before its end.
+func (m *Scheduler) finishTask(now time.Time, t *task, e EndedTask, known bool) {
 	s := t.step
 	if s.spec.Lasting() {
 		return
@@ -375,7 +376,10 @@
 		if member.state == taskDone {
 			continue
 		}
-		member.state, member.doneIn = taskDone, m.epoch
+		member.state = taskDone
+		if !known {
+			member.foundDoneIn = m.epoch
+		}
 		s.done++
 		if member.attempt != nil && member.attempt.run != e.run {
 			m.stop(now, member.attempt)
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -120,18 +120,18 @@
 	}
 
 	// task is one task of a step with its current attempt. failedOn also has
-	// the workers where it stalled. doneIn is the epoch in which this owner took
-	// note that it was done.
+	// the workers where it stalled. foundDoneIn is the epoch in which this
+	// owner found it done, and had not known of the run.
 	task struct {
-		step       *step
-		index      int
-		state      taskState
-		run        int
-		failedRuns []int
-		failedOn   []order.WorkerID
-		checkpoint string
-		doneIn     order.Epoch
-		attempt    *attempt
+		step        *step
+		index       int
+		state       taskState
+		run         int
+		failedRuns  []int
+		failedOn    []order.WorkerID
+		checkpoint  string
+		foundDoneIn order.Epoch
+		attempt     *attempt
 	}
 
 	taskState uint8
--- a/scheduler/unconfirmed.go
+++ b/scheduler/unconfirmed.go
@@ -91,8 +91,9 @@
 		var unreported order.Resources
 		for _, t := range s.tasks {
 			waiting := t.state == taskWaiting && j.state != order.JobCompleted && !s.notBefore().After(now)
-			// An earlier owner that has not heard of the end may repeat the run.
-			if waiting || t.doneIn == epoch {
+			// An earlier owner may have given up the run before this one found
+			// its end, and repeat it.
+			if waiting || t.foundDoneIn == epoch {
 				unreported = unreported.Plus(s.spec.Size())
 			}
 		}
