--- a/scheduler/explore_network_test.go
+++ b/scheduler/explore_network_test.go
@@ -215,20 +215,6 @@
 	w.after(w.upTo(10*time.Second), next)
 }
 
-// leave ends a draining worker for good and begins another one in its place.
-func (m *modelWorker) leave() {
-	w := m.world
-	if !m.up || !m.draining {
-		return
-	}
-	m.crash()
-	m.gone = true
-	w.discovery.remove(m)
-	next := newModelWorker(w, len(w.workers))
-	next.place = m.place
-	w.workers = append(w.workers, next)
-}
-
 // carry brings an order to a worker. The owner hears the answer, or the error of
 // the order after the timeout.
 func (n *modelNetwork) carry(o *modelOwner, to WorkerAddress, timeout time.Duration, arrive func(*modelWorker, sender, func(func())), fail func(error)) {
--- a/scheduler/explore_operator_test.go
+++ b/scheduler/explore_operator_test.go
@@ -13,12 +13,13 @@
 
 type (
 	// modelOperator holds the documents in force. Each queue keeps its address,
-	// service and advice, and may be removed, renamed and added again.
+	// service and advice, and may be removed, renamed and added again. reused is
+	// the name of a removed queue that one of another service has got.
 	modelOperator struct {
 		world    *world
 		revision order.Revision
 		queues   []modelRoute
-		decoy    order.QueueName
+		reused   order.QueueName
 		limited  bool
 		limits   []modelLimit
 		zones    [exploreZones]time.Time
@@ -91,7 +92,7 @@
 	r := &p.queues[w.rand.IntN(len(p.queues))]
 	switch w.rand.IntN(7) {
 	case 0:
-		r.name = order.QueueName("renamed-" + string(r.name[len(r.name)-1:]) + string(rune('a'+w.rand.IntN(4))))
+		r.name = order.QueueName("renamed" + r.path + string(rune('a'+w.rand.IntN(4))))
 	case 1:
 		p.queues[0].name, p.queues[1].name = p.queues[1].name, p.queues[0].name
 	case 2:
@@ -99,10 +100,9 @@
 			r.listedAt = w.now
 		}
 	case 3:
-		// Another queue gets the name of a removed one.
-		p.decoy = ""
+		p.reused = ""
 		if !r.listed {
-			p.decoy = r.name
+			p.reused = r.name
 		}
 	case 4:
 		p.setLimit(order.MilliCores(2000 + 2000*w.rand.IntN(4)))
@@ -142,7 +142,7 @@
 	for i := range p.queues {
 		p.queues[i].listed = true
 	}
-	p.decoy, p.zones = "", [exploreZones]time.Time{}
+	p.reused, p.zones = "", [exploreZones]time.Time{}
 	p.publish()
 }
 
@@ -150,7 +150,7 @@
 	p.revision++
 	p.changes++
 	p.world.trace("configuration %d: queues %v, another queue %q, team limited %v by %v, evacuated %v",
-		p.revision, p.queues, p.decoy, p.limited, p.limits[len(p.limits)-1].cores, p.zones)
+		p.revision, p.queues, p.reused, p.limited, p.limits[len(p.limits)-1].cores, p.zones)
 }
 
 // config returns the present configuration.
@@ -166,8 +166,8 @@
 			queues = append(queues, q)
 		}
 	}
-	if p.decoy != "" {
-		queues = append(queues, policy.NewQueue(p.decoy, "other.example", "/others/", "barges"))
+	if p.reused != "" {
+		queues = append(queues, policy.NewQueue(p.reused, "other.example", "/others/", "barges"))
 	}
 	teams := []policy.Team{policy.NewTeam(testTeam, []string{testKey}, 100, order.Resources{})}
 	if p.limited {
--- a/scheduler/explore_worker_test.go
+++ b/scheduler/explore_worker_test.go
@@ -100,6 +100,20 @@
 	m.draining, m.drainListedAt = false, time.Time{}
 }
 
+// leave ends a draining worker for good and begins another one in its place.
+func (m *modelWorker) leave() {
+	w := m.world
+	if !m.up || !m.draining {
+		return
+	}
+	m.crash()
+	m.gone = true
+	w.discovery.remove(m)
+	next := newModelWorker(w, len(w.workers))
+	next.place = m.place
+	w.workers = append(w.workers, next)
+}
+
 func (m *modelWorker) clock() int64 {
 	return 1 + int64(float64(m.world.now.Sub(m.bornAt).Milliseconds())*m.rate)
 }
