Take a queue of the same name at another address for another one

Its jobs followed the name to the other, which has the same service but needs no advice; their starts had no tickets and were refused for good.

A job now follows only a queue at its own address, with its service or its name; else the definition at its acceptance holds. Jobs stored without an address are found by name as before.

--- a/policy/config.go
+++ b/policy/config.go
@@ -165,21 +165,16 @@
 	return Queue{}, false
 }
 
-// Successor returns the queue that an earlier queue has become: the one with its
-// address and service whatever its name, or else the one with its name, unless
-// that has both another address and another service. It reports false if there
-// is none.
+// Successor returns the queue that an earlier queue has become: the one at its
+// address, with its service or its name. A queue of its name at another address
+// is another one. It reports false if there is none.
 func (c *Config) Successor(earlier Queue) (Queue, bool) {
 	for _, q := range c.queues {
-		if q.SameAddress(earlier) && q.service == earlier.service {
+		if q.SameAddress(earlier) && (q.service == earlier.service || q.name == earlier.name) {
 			return q, true
 		}
 	}
-	q, ok := c.Queue(earlier.name)
-	if !ok || (!q.SameAddress(earlier) && q.service != earlier.service) {
-		return Queue{}, false
-	}
-	return q, true
+	return Queue{}, false
 }
 
 // TopPriority returns the priority of the most urgent queue of the service, and
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -348,10 +348,10 @@
 }
 
 // findQueue returns the job's queue by the present configuration. It reports
-// false if that has none. The queue of a job without a stored definition can be
-// found by its name only.
+// false if that has none. An earlier version stored no address, or no definition
+// at all; the queue of such a job can be found by its name only.
 func (m *Scheduler) findQueue(j *job) (policy.Queue, bool) {
-	if j.acceptedBy.Service() == "" {
+	if j.acceptedBy.Host() == "" && j.acceptedBy.Prefix() == "" {
 		return m.config.Queue(j.queue)
 	}
 	return m.config.Successor(j.acceptedBy)
--- a/scheduler/route_test.go
+++ b/scheduler/route_test.go
@@ -125,6 +125,19 @@
 	d.is.Equal(q.Priority(), 4)
 }
 
+// A job must not follow the name of its removed queue to one at another address,
+// which may need no advice: its starts would lack the tickets.
+func TestJobKeepsItsAdviceWhenTheNameIsReused(t *testing.T) {
+	d := newDriver(t, testEpoch)
+	d.configure(testAdvice, order.Resources{})
+	d.submit(1, smallStep(1))
+	d.commitAll()
+	d.configureQueues(2, policy.NewQueue(testQueue, testHost, "/quotes/", "press").WithObjective(2, time.Second))
+	q, ok := d.m.queueOf(d.m.jobs[jobID(1)])
+	d.is.True(ok)
+	d.is.True(q.Advice().Needed())
+}
+
 // The jobs of a renamed queue must stay in the number of those that wait there,
 // and must not count for a later queue of the old name.
 func TestCountsWaitingJobsOfRenamedQueue(t *testing.T) {
