--- a/scheduler/delivery.go
+++ b/scheduler/delivery.go
@@ -95,20 +95,20 @@
 }
 
 // end records the error of an attempt, or nil. It returns the result of the
-// order, and false if another attempt has to be made. After an attempt without a
-// response a later refusal proves nothing, since the worker may still execute
-// the earlier one.
-func (d *delivery) end(err error) (error, bool) {
+// order, and final is false if another attempt has to be made. After an attempt
+// without a response a later refusal proves nothing, since the worker may still
+// execute the earlier one.
+func (d *delivery) end(err error) (final bool, result error) {
 	if err == nil {
-		return nil, true
+		return true, nil
 	}
 	var refused *RefusedError
 	switch {
 	case d.unconfirmed != nil:
 	case errors.As(err, &refused), errors.Is(err, ErrNotSent):
-		return err, true
+		return true, err
 	default:
 		d.unconfirmed = err
 	}
-	return d.unconfirmed, d.attempts == maxOrderTries
+	return d.attempts == maxOrderTries, d.unconfirmed
 }
--- a/scheduler/explore_client_test.go
+++ b/scheduler/explore_client_test.go
@@ -246,14 +246,7 @@
 	j := call.job
 	switch call.verb {
 	case order.SubmitJob:
-		j.open--
-		switch r.Code() {
-		case order.Done:
-		case order.OutcomeUnknown:
-			j.unanswered++
-		default:
-			j.refused++
-		}
+		j.countSubmission(r.Code())
 		if r.Code() == order.Done && !j.accepted {
 			j.accepted, j.acceptedAt = true, w.now
 			w.trace("job %s accepted by owner %d", taskName(TaskRef{job: j.id}), o.epoch)
@@ -274,6 +267,18 @@
 	}
 }
 
+// countSubmission counts a submission that was answered.
+func (j *modelJob) countSubmission(code order.Code) {
+	j.open--
+	switch code {
+	case order.Done:
+	case order.OutcomeUnknown:
+		j.unanswered++
+	default:
+		j.refused++
+	}
+}
+
 func (c *modelClients) cancelReply(o *modelOwner, j *modelJob, r order.JobReplyMsg) {
 	w := c.world
 	switch {
--- a/scheduler/explore_network_test.go
+++ b/scheduler/explore_network_test.go
@@ -242,22 +242,28 @@
 	if n.ordersLate && w.chance(50) {
 		c.late, delay = true, 2*time.Second+w.upTo(10*time.Second)
 	}
-	receiver, _ := w.workerAt(to)
-	if c.late && receiver == nil {
-		return
-	}
 	if c.late {
-		life := receiver.life
-		w.after(delay, func() {
-			if receiver.up && receiver.life == life {
-				c.deliver()
-			}
-		})
+		c.deliverLate(delay)
 		return
 	}
 	w.after(delay, c.deliver)
 }
 
+// deliverLate lets the worker that is there now carry out the order later, if it
+// still lives.
+func (c *carriage) deliverLate(delay time.Duration) {
+	receiver, _ := c.network.world.workerAt(c.to)
+	if receiver == nil {
+		return
+	}
+	life := receiver.life
+	c.network.world.after(delay, func() {
+		if receiver.up && receiver.life == life {
+			c.deliver()
+		}
+	})
+}
+
 // zone returns the zone of the worker that gets the order.
 func (c *carriage) zone() int {
 	for _, m := range c.network.world.workers {
--- a/scheduler/explore_owner_test.go
+++ b/scheduler/explore_owner_test.go
@@ -236,8 +236,8 @@
 		return
 	}
 	result := func(clock int64, err error) {
-		if err, done := d.end(err); done {
-			finish(clock, err)
+		if final, result := d.end(err); final {
+			finish(clock, result)
 			return
 		}
 		o.send(q, c, d)
--- a/scheduler/runner.go
+++ b/scheduler/runner.go
@@ -251,8 +251,8 @@
 			return 0, err
 		}
 		clock, err := sendWithTimeout(ctx, timeout, send)
-		if err, done := d.end(err); done {
-			return clock, err
+		if final, result := d.end(err); final {
+			return clock, result
 		}
 	}
 }
