Ask in one place whether an order was certainly not executed

delivery.end and handleStopped had the same condition, and the explorer searched a worker by its ID and named a step in three places.

--- a/scheduler/attempt.go
+++ b/scheduler/attempt.go
@@ -273,8 +273,7 @@
 		return
 	}
 	m.registry.Count("yard.stop_failed")
-	var refused *RefusedError
-	if !errors.As(in.err, &refused) && !errors.Is(in.err, ErrNotSent) {
+	if !notExecuted(in.err) {
 		a.worker.unresponsive = true
 	}
 }
--- a/scheduler/delivery.go
+++ b/scheduler/delivery.go
@@ -99,16 +99,21 @@
 // without a response a later refusal proves nothing, since the worker may still
 // execute the earlier one.
 func (d *delivery) end(err error) (final bool, result error) {
-	if err == nil {
-		return true, nil
-	}
-	var refused *RefusedError
 	switch {
+	case err == nil:
+		return true, nil
 	case d.unconfirmed != nil:
-	case errors.As(err, &refused), errors.Is(err, ErrNotSent):
+	case notExecuted(err):
 		return true, err
 	default:
 		d.unconfirmed = err
 	}
 	return d.attempts == maxOrderTries, d.unconfirmed
 }
+
+// notExecuted reports whether the error of an order says that the worker has
+// certainly not executed it.
+func notExecuted(err error) bool {
+	var refused *RefusedError
+	return errors.As(err, &refused) || errors.Is(err, ErrNotSent)
+}
--- a/scheduler/explore_advice_test.go
+++ b/scheduler/explore_advice_test.go
@@ -69,6 +69,5 @@
 		return true
 	}
 	t, ok := a.tickets[o.ticket]
-	step := NewTaskRef(o.task.job, o.task.occurrence, o.task.step, 0)
-	return ok && t.step == step && t.life == m.life && a.world.now.Before(t.until)
+	return ok && t.step == stepOf(o.task) && t.life == m.life && a.world.now.Before(t.until)
 }
--- a/scheduler/explore_gang_test.go
+++ b/scheduler/explore_gang_test.go
@@ -23,7 +23,7 @@
 // join adds a run to its gang, which begins to work once all members are there.
 func (g *modelGangs) join(r *modelRun, size int) {
 	w := g.world
-	key := gangRun{NewTaskRef(r.task.job, r.task.occurrence, r.task.step, 0), r.run}
+	key := gangRun{stepOf(r.task), r.run}
 	g.runs[key] = append(g.runs[key], r)
 	members := g.runs[key]
 	if g.present(members) < size {
@@ -52,6 +52,9 @@
 	})
 }
 
+// stepOf returns the first task of the task's step, which stands for the step.
+func stepOf(t TaskRef) TaskRef { return NewTaskRef(t.job, t.occurrence, t.step, 0) }
+
 func (g *modelGangs) present(members []*modelRun) int {
 	n := 0
 	for _, m := range members {
@@ -64,7 +67,7 @@
 
 // broken ends the other members of a run that has ended without being done.
 func (g *modelGangs) broken(r *modelRun) {
-	key := gangRun{NewTaskRef(r.task.job, r.task.occurrence, r.task.step, 0), r.run}
+	key := gangRun{stepOf(r.task), r.run}
 	for _, m := range g.runs[key] {
 		if m.result == 0 {
 			g.world.after(time.Millisecond, func() { m.worker.end(m, ResultGangEnded) })
--- a/scheduler/explore_network_test.go
+++ b/scheduler/explore_network_test.go
@@ -266,10 +266,8 @@
 
 // zone returns the zone of the worker that gets the order.
 func (c *carriage) zone() int {
-	for _, m := range c.network.world.workers {
-		if m.id == c.to.worker {
-			return m.zone
-		}
+	if m := c.network.world.worker(c.to.worker); m != nil {
+		return m.zone
 	}
 	return 0
 }
