--- a/scheduler/attempt.go
+++ b/scheduler/attempt.go
@@ -234,7 +234,7 @@
 	w := a.worker
 	m.registry.Count("yard.start_refused." + refused.reason.String())
 	m.log.Warn().Str("job", string(a.ref.job)).Int("step", a.ref.step).Int("task", a.ref.index).Int("run", a.run).
-		Str("worker", string(w.id)).Stringer("reason", refused.reason).Msg("yard: start refused")
+		Str("worker", string(w.id)).Uint64("epoch", uint64(m.epoch)).Stringer("reason", refused.reason).Msg("yard: start refused")
 	switch refused.reason {
 	case RefusedKnownRun:
 		// The worker may refuse a repeated order because the run is there
@@ -298,7 +298,7 @@
 	m.allocate(a)
 	if t == nil || j.state.Ended() || t.state != taskWaiting || t.attempt != nil || (t.step.spec.Gang() && !t.step.sameRun(r.run)) {
 		m.log.Warn().Str("job", string(r.task.job)).Int("task", r.task.index).Int("run", r.run).
-			Str("worker", string(w.id)).Msg("yard: unexpected run stopped")
+			Str("worker", string(w.id)).Uint64("epoch", uint64(m.epoch)).Msg("yard: unexpected run stopped")
 		m.stop(now, a)
 		return a
 	}
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -36,8 +36,10 @@
 		contacted bool
 
 		// reported reports whether a report of this epoch had all ends, so that
-		// all that earlier owners started is known.
-		reported bool
+		// all that earlier owners started is known. reportedAt is the time of
+		// the last report.
+		reported   bool
+		reportedAt time.Time
 
 		// clockMillis is the worker's clock in milliseconds as of clockReadAt.
 		clockMillis int64
@@ -424,7 +426,7 @@
 			Msg("yard: contact with worker established")
 	}
 	w.missedCalls, w.connRefused, w.unresponsive = 0, false, false
-	w.contacted = true
+	w.contacted, w.reportedAt = true, now
 	w.reported = w.reported || !in.report.moreEnds
 	if !w.persisted() {
 		m.journal.workersDirty = true
@@ -572,6 +574,7 @@
 func (m *Scheduler) expireRuns(now time.Time) {
 	for _, w := range m.sortedWorkers() {
 		if w.departed() {
+			m.logEndedRuns(now, w, "yard: worker left")
 			m.dropAttempts(now, w, "worker left")
 			w.leaseEnd = time.Time{}
 		}
@@ -581,9 +584,7 @@
 		}
 		if len(w.attempts) > 0 {
 			m.registry.Count("yard.workers.lapsed")
-			m.log.Warn().Str("worker", string(w.id)).Str("domain", string(w.info.domain)).Int("runs", len(w.attempts)).
-				Time("lease_end", w.leaseEnd).Uint64("epoch", uint64(m.epoch)).
-				Dur("ownership_age", m.ownershipAge(now)).Msg("yard: leases lapsed")
+			m.logEndedRuns(now, w, "yard: leases lapsed")
 			m.dropAttempts(now, w, "lease lapsed")
 		}
 		if w.storedAddress != "" && !w.contacted {
@@ -596,6 +597,18 @@
 	}
 }
 
+// logEndedRuns logs that the runs of a worker count as ended although it did not
+// list their ends, with what is known of the worker.
+func (m *Scheduler) logEndedRuns(now time.Time, w *worker, message string) {
+	if len(w.attempts) == 0 {
+		return
+	}
+	m.log.Warn().Str("worker", string(w.id)).Str("domain", string(w.info.domain)).Int("runs", len(w.attempts)).
+		Time("lease_end", w.leaseEnd).Bool("listed", w.listed).Bool("draining", w.draining).Bool("refused", w.connRefused).
+		Dur("report_age", now.Sub(w.reportedAt)).Uint64("epoch", uint64(m.epoch)).
+		Dur("ownership_age", m.ownershipAge(now)).Msg(message)
+}
+
 // recovered reports whether all runs that earlier owners may have started are
 // known: each worker has reported all ends, or its last lease has lapsed.
 func (m *Scheduler) recovered() bool {
