--- a/cmd/host/main.go
+++ b/cmd/host/main.go
@@ -14,6 +14,7 @@
 	"runtime"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/rs/zerolog"
 
@@ -57,7 +58,8 @@
 	registry := gauge.New(zerolog.Nop())
 	logWriter := gauge.NewLogWriter(os.Stdout, registry)
 	log := logWriter.Logger()
-	err = serve(cfg, registry, log, func() { reload(command, cfg, log) })
+	silence := platform.EntryLifetime(command.WorkerHeartbeat())
+	err = serve(cfg, silence, registry, log, func() { reload(command, cfg, log) })
 	logWriter.Close()
 	if err != nil {
 		exit(exitFailed, err)
@@ -90,10 +92,10 @@
 		Strs("needs_restart", started.NeedsRestart(next)).Msg("host: settings reloaded")
 }
 
-func serve(s settings.Host, registry *gauge.Registry, log zerolog.Logger, reload func()) error {
+func serve(s settings.Host, workerSilence time.Duration, registry *gauge.Registry, log zerolog.Logger, reload func()) error {
 	registry.SetLog(log)
 	limits := scheduler.NewLimits(s.MaxLease(), s.KeepEnded()).WithWriteRate(s.StoreWrites()).
-		WithCancelBound(s.CancelBound())
+		WithCancelBound(s.CancelBound()).WithWorkerSilence(workerSilence)
 	deps := entryhost.NewDependencies(platform.NewStoreClient(s.StoreAddress(), registry), platform.NewWorkerClient(),
 		platform.NewAdviceClient(s.AdviceAddress()), platform.Decoder{})
 	host := entryhost.New(s.PeerAddress(), s.FailureDomain(), s.PeerSecret(), deps, limits, timers.New(), registry, log,
--- a/entryhost/cell.go
+++ b/entryhost/cell.go
@@ -160,23 +160,24 @@
 		h.log.Debug().Err(c.Err()).Msg("pier: workers' entries not read")
 		return
 	}
-	infos, removed := h.decodeWorkers(c)
-	if err := runner.EnqueueWait(ctx, scheduler.NewWorkersMsg(infos, removed, c.IsSnapshot())); err != nil {
+	infos, unreadable, deleted := h.decodeWorkers(c)
+	removed := append(unreadable, deleted...)
+	in := scheduler.NewWorkersMsg(infos, removed, c.IsSnapshot()).WithDeleted(deleted).WithChangedAfter(c.ChangedAfter())
+	if err := runner.EnqueueWait(ctx, in); err != nil {
 		h.log.Debug().Err(err).Msg("pier: workers not passed to the cell, which stops")
 	}
 }
 
-// decodeWorkers returns the workers that the change adds or updates, and those
-// that it removes. Of several events of an entry the last one counts.
-func (h *Host) decodeWorkers(c storage.Change) ([]scheduler.WorkerInfo, []order.WorkerID) {
-	var infos []scheduler.WorkerInfo
-	var removed []order.WorkerID
+// decodeWorkers returns the workers that the change adds or updates, those whose
+// entries can't be read, and those whose entries it deletes. Of several events
+// of an entry the last one counts.
+func (h *Host) decodeWorkers(c storage.Change) (infos []scheduler.WorkerInfo, unreadable, deleted []order.WorkerID) {
 	decode := func(e storage.Entry) {
 		info, err := h.deps.decoder.DecodeWorker(e)
 		if err != nil {
 			h.registry.Count("pier.worker_unreadable")
 			h.log.Warn().Err(err).Str("key", e.Key()).Msg("pier: worker's entry not decoded, worker not used")
-			removed = append(removed, h.deps.decoder.WorkerID(e.Key()))
+			unreadable = append(unreadable, h.deps.decoder.WorkerID(e.Key()))
 			return
 		}
 		infos = append(infos, info)
@@ -192,10 +193,10 @@
 		switch {
 		case i != last[e.Entry().Key()]:
 		case e.Deleted():
-			removed = append(removed, h.deps.decoder.WorkerID(e.Entry().Key()))
+			deleted = append(deleted, h.deps.decoder.WorkerID(e.Entry().Key()))
 		default:
 			decode(e.Entry())
 		}
 	}
-	return infos, removed
+	return infos, unreadable, deleted
 }
--- a/entryhost/cell_test.go
+++ b/entryhost/cell_test.go
@@ -59,14 +59,15 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	var infos []scheduler.WorkerInfo
-	var removed []order.WorkerID
+	var unreadable, deleted []order.WorkerID
 	f := storage.NewFollower(store, timers.New(), "servers/", 0, zerolog.Nop(), func(c storage.Change) {
 		if !c.IsSnapshot() {
-			infos, removed = h.decodeWorkers(c)
+			infos, unreadable, deleted = h.decodeWorkers(c)
 			cancel()
 		}
 	})
 	is.NoErr(f.Run(ctx))
 	is.Equal(infos, []scheduler.WorkerInfo{scheduler.NewWorkerInfo("w1", "b", "press", "quay", order.Resources{})})
-	is.Equal(removed, []order.WorkerID{"w2"})
+	is.Equal(deleted, []order.WorkerID{"w2"})
+	is.Equal(len(unreadable), 0)
 }
--- a/scheduler/driver_test.go
+++ b/scheduler/driver_test.go
@@ -37,13 +37,17 @@
 	testJob    = "5c0e7a21d94b36f8"
 	testMember = order.MemberID("10.0.0.1:7000/a")
 	testEpoch  = order.Epoch(1)
+
+	// feedInterval is how much time passes with each input.
+	feedInterval = placeInterval + 100*placeIntervalPerStep
 )
 
 var (
 	testStart = time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
 
-	// errExited is the error of an order to a worker that has exited.
-	errExited = errors.Join(ErrNotSent, ErrNotListening)
+	// errRefused is the error of an order whose connection is refused, as after
+	// the exit of its worker.
+	errRefused = errors.Join(ErrNotSent, ErrNotListening)
 )
 
 func newDriver(t testing.TB, epoch order.Epoch) *driver {
@@ -51,7 +55,7 @@
 	registry.SetStrict(true)
 	d := &driver{t: t, is: is.New(t), now: testStart, version: 10}
 	record := storage.NewEntry("cell/owner", nil, 1)
-	d.m = New(testMember, epoch, record, NewLimits(10*time.Second, time.Minute).WithWriteRate(400), d.now, registry, zerolog.Nop())
+	d.m = New(testMember, epoch, record, NewLimits(10*time.Second, time.Minute).WithWriteRate(400).WithWorkerSilence(4500*time.Millisecond), d.now, registry, zerolog.Nop())
 	return d
 }
 
@@ -81,7 +85,7 @@
 // feed applies an input late enough for the next round of placement, and
 // collects the commands that follow.
 func (d *driver) feed(in Msg) {
-	d.now = d.now.Add(placeInterval + 100*placeIntervalPerStep)
+	d.now = d.now.Add(feedInterval)
 	d.m.Handle(d.now, in)
 	d.decide()
 }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -99,13 +99,15 @@
 
 	// Limits are set by the platform: the longest lease of a worker, how long
 	// ended jobs are shown, how long after the answer to a cancellation tasks of
-	// the job may still start, and how many writes a second the store takes
-	// (zero if unknown).
+	// the job may still start, how many writes a second the store takes, and how
+	// long the discovery keeps the entry of a worker that sends no heartbeat.
+	// The last two are zero if unknown.
 	Limits struct {
 		maxLease        time.Duration
 		retention       time.Duration
 		cancelBound     time.Duration
 		writesPerSecond float64
+		workerSilence   time.Duration
 	}
 
 	// Command is an action that follows from the inputs, executed by the caller
@@ -142,11 +144,17 @@
 		withdrawn []order.DomainName
 	}
 
-	// WorkersMsg has the workers that the discovery lists.
+	// WorkersMsg has the workers that the discovery lists. The entries of the
+	// deleted ones, which are among the removed, are gone; those of the others
+	// can't be read. All changes happened after changedAfter, when the machine
+	// had been suspended for the given time; it is zero if that is not known.
 	WorkersMsg struct {
-		infos    []WorkerInfo
-		removed  []order.WorkerID
-		complete bool
+		infos        []WorkerInfo
+		removed      []order.WorkerID
+		deleted      []order.WorkerID
+		complete     bool
+		changedAfter time.Time
+		suspended    time.Duration
 	}
 
 	// CallMsg is a call of a client.
@@ -267,6 +275,13 @@
 	return l
 }
 
+// WithWorkerSilence returns a copy with the time for which the discovery keeps
+// the entry of a worker that sends no heartbeat.
+func (l Limits) WithWorkerSilence(silence time.Duration) Limits {
+	l.workerSilence = silence
+	return l
+}
+
 // NewConfigMsg returns the input for a configuration and the withdrawn domains.
 // A nil configuration leaves the present one in force.
 func NewConfigMsg(config *policy.Config, withdrawn []order.DomainName) ConfigMsg {
@@ -279,6 +294,20 @@
 	return WorkersMsg{infos: infos, removed: removed, complete: complete}
 }
 
+// WithDeleted returns a copy that says which of the removed workers have no
+// entry any more.
+func (m WorkersMsg) WithDeleted(deleted []order.WorkerID) WorkersMsg {
+	m.deleted = deleted
+	return m
+}
+
+// WithChangedAfter returns a copy with a time after which all its changes
+// happened, and how long the machine had been suspended then.
+func (m WorkersMsg) WithChangedAfter(at time.Time, suspended time.Duration) WorkersMsg {
+	m.changedAfter, m.suspended = at, suspended
+	return m
+}
+
 // NewCallMsg returns the input for a client's call. The reply is sent to from.
 func NewCallMsg(from order.MemberID, call order.JobCallMsg) CallMsg {
 	return CallMsg{from: from, call: call}
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -522,26 +522,25 @@
 	d.is.True(d.m.journal.workersDirty || d.m.journal.workersInFlight) // the stored list follows
 }
 
-// A worker that left around a takeover must not hold up its former tasks.
-func TestNewOwnerRestartsTasksOfWorkerThatLeft(t *testing.T) {
-	d := newSuccessor(t, order.Resources{}, []order.JobStep{smallStep(1).WithLasting(true)}, []order.WorkerID{"w1", "gone"}, "w1")
+// A worker that a new owner finds neither listed nor listening may be cut off and run on. It must hold up its former tasks no longer than its leases last.
+func TestNewOwnerWaitsForLeasesOfUnlistedWorker(t *testing.T) {
+	d := newSuccessor(t, order.Resources{}, []order.JobStep{smallStep(1).WithLasting(true)}, []order.WorkerID{"w1", "cut"}, "w1")
 	d.answerPoll("w1", nil, nil)
-	d.failPoll("gone", ErrNotSent)
-	d.advance(2 * pollRetryDelay)
-	d.is.Equal(d.startedOf(testJob), 0) // it may be cut off
-	d.failPoll("gone", errExited)
+	d.refuseUntil("cut", errRefused, testStart.Add(maxLeaseTime(d.m.limits.maxLease)))
+	d.is.Equal(d.startedOf(testJob), 0)
 	d.advance(100 * time.Millisecond)
 	d.is.Equal(d.startedOf(testJob), 1)
 }
 
-// A worker that is still listed may be starting again; its entry says so soon.
-func TestNewOwnerWaitsForListedWorkerWithoutListener(t *testing.T) {
+// A worker that drains under a new owner and leaves must not hold up its former tasks; while it is listed, it may be starting again.
+func TestNewOwnerRestartsTasksOfWorkerThatLeft(t *testing.T) {
 	d := newSuccessor(t, order.Resources{}, []order.JobStep{smallStep(1)}, []order.WorkerID{"w1", "w2"}, "w1", "w2")
 	d.answerPoll("w1", nil, nil)
-	d.failPoll("w2", errExited)
+	d.feed(NewWorkersMsg([]WorkerInfo{workerInfo("w2", 1).WithIncarnation(1, true)}, nil, false).WithChangedAfter(d.now, 0))
+	d.failPoll("w2", errRefused)
 	d.advance(2 * pollRetryDelay)
 	d.is.Equal(d.startedOf(testJob), 0)
-	d.feed(NewWorkersMsg(nil, []order.WorkerID{"w2"}, false))
+	d.feed(deletion("w2"))
 	d.advance(100 * time.Millisecond)
 	d.is.Equal(d.startedOf(testJob), 1)
 }
@@ -550,7 +549,7 @@
 func TestNewOwnerWaitsForDiscovery(t *testing.T) {
 	d := newSuccessorBeforeDiscovery(t, []order.JobStep{smallStep(1)}, []order.WorkerID{"w1"})
 	d.configure(policy.Advice{}, order.Resources{})
-	d.failPoll("w1", errExited)
+	d.failPoll("w1", errRefused)
 	d.advance(2 * pollRetryDelay)
 	d.is.Equal(len(d.m.workers), 1)
 }
@@ -737,11 +736,11 @@
 // once, without waiting for its lease to expire.
 func TestRestartsOnceDrainedWorkerLeft(t *testing.T) {
 	d, drained := newDrainingDriver(t)
-	d.failPoll(drained, errExited)
+	d.failPoll(drained, errRefused)
 	d.advance(50 * time.Millisecond)
 	_, ok := d.takeStart()
 	d.is.True(!ok) // it may be restarting
-	d.feed(NewWorkersMsg(nil, []order.WorkerID{drained}, false))
+	d.feed(deletion(drained))
 	d.advance(50 * time.Millisecond)
 	s, ok := d.takeStart()
 	d.is.True(ok)
@@ -821,9 +820,9 @@
 // A draining worker that no connection reaches may be cut off and run on.
 func TestNoRestartWhileDrainingWorkerIsCutOff(t *testing.T) {
 	d, drained := newDrainingDriver(t)
-	d.failPoll(drained, ErrNotSent)
-	d.feed(NewWorkersMsg(nil, []order.WorkerID{drained}, false))
-	d.advance(leaseDuration - 2*time.Second)
+	d.refuseUntil(drained, ErrNotSent, d.now.Add(d.m.limits.workerSilence-2*time.Second))
+	d.feed(deletion(drained))
+	d.refuseUntil(drained, ErrNotSent, d.m.workers[drained].leaseEnd)
 	_, ok := d.takeStart()
 	d.is.True(!ok)
 }
@@ -835,7 +834,7 @@
 	s, _ := d.takeStart()
 	d.answerStart(s, nil)
 	drained := s.order.to.worker
-	d.feed(NewWorkersMsg([]WorkerInfo{workerInfo(drained, 1).WithIncarnation(1, true)}, nil, false))
+	d.feed(NewWorkersMsg([]WorkerInfo{workerInfo(drained, 1).WithIncarnation(1, true)}, nil, false).WithChangedAfter(d.now, 0))
 	d.advance(time.Second)
 	d.answerPoll(drained, []RunningTask{NewRunningTask(s.order.task, 1, "", 50)}, nil)
 	d.advance(time.Second)
--- a/scheduler/two_owners_test.go
+++ b/scheduler/two_owners_test.go
@@ -409,14 +409,15 @@
 
 // The end of a run that its worker didn't list must not repeat its task before the store confirms the ownership, nor later than that: a successor may have taken note that it was done.
 func TestExitedWorkerNeedsOneConfirmation(t *testing.T) {
-	for name, err := range map[string]error{"not listening": ErrNotListening, "another worker": NewRefusedError(RefusedIncarnation, 0)} {
+	for name, err := range map[string]error{"left": errRefused, "another worker": NewRefusedError(RefusedIncarnation, 0)} {
 		t.Run(name, func(t *testing.T) {
 			d := newDriverWithJob(t, []order.WorkerID{"w1", "w2"}, smallStep(1))
 			s, ok := d.takeStart()
 			d.is.True(ok)
 			d.answerStart(s, nil)
 			d.unconfirmed = true
-			d.feed(NewWorkersMsg(nil, []order.WorkerID{s.order.to.worker}, false))
+			d.feed(NewWorkersMsg([]WorkerInfo{workerInfo(s.order.to.worker, 1).WithIncarnation(1, true)}, nil, false).WithChangedAfter(d.now, 0))
+			d.feed(deletion(s.order.to.worker))
 			for range 5 {
 				d.failPoll(s.order.to.worker, err)
 				d.advance(20 * time.Millisecond)
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -23,6 +23,13 @@
 		listed     bool
 		discovered bool
 
+		// changedAfter is a time after which the entry was last written, and
+		// changedSuspended how long the machine had been suspended then. left
+		// reports whether the worker itself has removed its entry.
+		changedAfter     time.Time
+		changedSuspended time.Duration
+		left             bool
+
 		// infoStale reports whether info describes an earlier incarnation, whose
 		// capacity and labels may differ.
 		infoStale bool
@@ -53,8 +60,8 @@
 		// certainly expired.
 		leaseEnd time.Time
 
-		// connRefused reports whether nothing listened at the worker's address
-		// at the last poll.
+		// connRefused reports whether the worker's address refused the
+		// connection of the last poll.
 		connRefused bool
 
 		// polling reports whether a poll is open, and pollPermit is that of the
@@ -149,6 +156,12 @@
 	for _, info := range in.infos {
 		listed[info.id] = true
 		m.updateWorker(now, info)
+		if w := m.workers[info.id]; w != nil {
+			w.changedAfter, w.changedSuspended = in.changedAfter, in.suspended
+		}
+	}
+	for _, id := range in.deleted {
+		m.markLeft(now, id)
 	}
 	for _, id := range in.removed {
 		m.markUnlisted(now, id)
@@ -192,7 +205,7 @@
 		m.journal.workersDirty = true
 	}
 	w.info, w.listed, w.discovered, w.draining = info, true, true, info.draining
-	w.infoStale = false
+	w.infoStale, w.left = false, false
 	w.rack = rackOf(info.labels)
 	w.updateFree()
 	if w.draining {
@@ -211,6 +224,19 @@
 	return ""
 }
 
+// markLeft handles a deleted entry. A draining worker whose entry goes sooner
+// than the discovery removes that of a silent one has removed it itself, as it
+// does at its exit.
+func (m *Scheduler) markLeft(now time.Time, id order.WorkerID) {
+	w := m.workers[id]
+	if w == nil || !w.draining || w.changedAfter.IsZero() {
+		return
+	}
+	age := now.Sub(w.changedAfter) + m.suspended - w.changedSuspended
+	// The margin allows for a change that the store reported late.
+	w.left = age < m.limits.workerSilence*2/3
+}
+
 // markUnlisted handles a worker that the discovery no longer lists. It is
 // removed only when it can have no more runs.
 func (m *Scheduler) markUnlisted(now time.Time, id order.WorkerID) {
@@ -562,11 +588,11 @@
 	}
 }
 
-// departed reports whether the worker has exited: the discovery does not list it
-// and nothing listens at its address. A worker that is cut off from the store is
-// not listed either, but its address does not refuse connections.
+// departed reports whether the worker has exited as planned. That it is not
+// listed and refuses connections is no proof: a worker behind a partition may do
+// both, and run on.
 func (w *worker) departed() bool {
-	return w.discovered && !w.listed && w.connRefused
+	return w.left && !w.listed && w.missedCalls > 0
 }
 
 // expireRuns ends the runs of workers that departed, and of workers without
--- a/settings/command.go
+++ b/settings/command.go
@@ -8,6 +8,7 @@
 	"os"
 	"reflect"
 	"text/tabwriter"
+	"time"
 
 	"github.com/peterbourgon/ff/v3"
 )
@@ -17,6 +18,7 @@
 	Command struct {
 		file      string
 		checkOnly bool
+		heartbeat time.Duration
 	}
 )
 
@@ -28,14 +30,14 @@
 // error is then flag.ErrHelp.
 func GateCommand(args []string, out io.Writer) (Command, error) {
 	return parseCommand("gate", "Takes requests of callers over HTTP and forwards them to the placers.",
-		defaultGate(), args, out)
+		defaultGate(), args, out, nil)
 }
 
 // PlacerCommand parses the command line of the placer. Help is printed to out;
 // the error is then flag.ErrHelp.
 func PlacerCommand(args []string, out io.Writer) (Command, error) {
 	return parseCommand("placer", "Queues requests and places their tasks on workers.",
-		defaultPlacer(), args, out)
+		defaultPlacer(), args, out, nil)
 }
 
 // CheckOnly reports whether the program must only check the settings file and
@@ -45,6 +47,10 @@
 // File returns the path of the settings file.
 func (c Command) File() string { return c.file }
 
+// WorkerHeartbeat returns the interval at which workers renew their entries in
+// the discovery, and zero if it is unknown.
+func (c Command) WorkerHeartbeat() time.Duration { return c.heartbeat }
+
 // Gate reads and checks the settings file of a gate.
 func (c Command) Gate() (Gate, error) {
 	data, err := os.ReadFile(c.file)
@@ -63,12 +69,17 @@
 	return ParsePlacer(c.file, data)
 }
 
-func parseCommand(name, purpose string, defaults any, args []string, out io.Writer) (Command, error) {
+// parseCommand parses a command line. addFlags, unless it is nil, adds the flags
+// of one program to those of all.
+func parseCommand(name, purpose string, defaults any, args []string, out io.Writer, addFlags func(*flag.FlagSet, *Command)) (Command, error) {
 	var c Command
 	flags := flag.NewFlagSet(name, flag.ContinueOnError)
 	flags.SetOutput(out)
 	flags.StringVar(&c.file, "settings", "", "path of the settings file (required)")
 	flags.BoolVar(&c.checkOnly, "check", false, "check the settings file and exit")
+	if addFlags != nil {
+		addFlags(flags, &c)
+	}
 	flags.Usage = func() { printUsage(out, flags, purpose, defaults) }
 	err := ff.Parse(flags, args, ff.WithEnvVarPrefix("CHERVILHOLLOW"))
 	switch {
@@ -78,6 +89,8 @@
 		return c, fmt.Errorf("%w: %w", ErrUsage, err)
 	case flags.NArg() > 0:
 		return c, fmt.Errorf("%w: unexpected argument %q", ErrUsage, flags.Arg(0))
+	case c.heartbeat < 0:
+		return c, fmt.Errorf("%w: --worker-heartbeat %s is negative", ErrUsage, c.heartbeat)
 	case c.file == "":
 		return c, fmt.Errorf("%w: --settings is required; see --help", ErrUsage)
 	}
--- a/settings/host.go
+++ b/settings/host.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"flag"
 	"fmt"
 	"io"
 	"os"
@@ -70,7 +71,10 @@
 // out; the error is then flag.ErrHelp.
 func HostCommand(args []string, out io.Writer) (Command, error) {
 	return parseCommand("host", "Takes jobs of clients on the users' platform and runs their tasks on workers.",
-		defaultHost(), args, out)
+		defaultHost(), args, out, func(flags *flag.FlagSet, c *Command) {
+			flags.DurationVar(&c.heartbeat, "worker-heartbeat", 0,
+				"interval at which workers renew their entries in the discovery (0s: unknown)")
+		})
 }
 
 // Host reads and checks the settings file of an entry host.
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -87,6 +87,25 @@
 	}
 }
 
+// Guards against a heartbeat interval that the host doesn't get, or that other programs take.
+func TestWorkerHeartbeatFlag(t *testing.T) {
+	is := is.New(t)
+	for _, c := range []struct {
+		text string
+		want time.Duration
+		ok   bool
+	}{{"1500ms", 1500 * time.Millisecond, true}, {"0s", 0, true}, {"-1s", 0, false}, {"ms", 0, false}} {
+		args := []string{"-settings", "x", "-worker-heartbeat", c.text}
+		command, err := settings.HostCommand(args, &bytes.Buffer{})
+		is.Equal(err == nil, c.ok)
+		if c.ok {
+			is.Equal(command.WorkerHeartbeat(), c.want)
+		}
+		_, err = settings.GateCommand(args, &bytes.Buffer{})
+		is.True(errors.Is(err, settings.ErrUsage))
+	}
+}
+
 // Guards against unknown flags and arguments that are ignored.
 func TestCommandLine(t *testing.T) {
 	is := is.New(t)
--- a/soak/process_test.go
+++ b/soak/process_test.go
@@ -51,7 +51,7 @@
 		return err
 	}
 	defer log.Close()
-	cmd := exec.Command(h.program, "-settings", h.settingsPath)
+	cmd := exec.Command(h.program, "-settings", h.settingsPath, "-worker-heartbeat", "1500ms")
 	cmd.Stdout, cmd.Stderr = log, log
 	if err := cmd.Start(); err != nil {
 		return err
--- a/storage/follower.go
+++ b/storage/follower.go
@@ -31,6 +31,12 @@
 		version     Version
 		requestedAt time.Time
 		err         error
+
+		// changedAfter is when the last call before this one that the store
+		// answered was sent, and suspended how long the machine had been
+		// suspended then.
+		changedAfter time.Time
+		suspended    time.Duration
 	}
 )
 
@@ -69,6 +75,13 @@
 // RequestedAt returns when the call was sent. The content is at least as new.
 func (c Change) RequestedAt() time.Time { return c.requestedAt }
 
+// ChangedAfter returns a time after which all events of the change happened, and
+// how long the machine had been suspended then. The time is zero for a change
+// that is whole.
+func (c Change) ChangedAfter() (at time.Time, suspended time.Duration) {
+	return c.changedAfter, c.suspended
+}
+
 // Err returns why the call failed, or nil.
 func (c Change) Err() error { return c.err }
 
@@ -77,8 +90,11 @@
 func (f *Follower) Run(ctx context.Context) error {
 	var after Version
 	var ahead map[string]Version
+	var answeredAt time.Time
+	var answeredSuspended time.Duration
 	listed := false
 	for ctx.Err() == nil {
+		suspended := f.clock.Suspended()
 		change := f.next(ctx, after, listed)
 		if ctx.Err() != nil {
 			break
@@ -102,7 +118,9 @@
 			ahead = change.entriesAhead()
 		} else {
 			change.dropOlder(ahead)
+			change.changedAfter, change.suspended = answeredAt, answeredSuspended
 		}
+		answeredAt, answeredSuspended = change.requestedAt, suspended
 		if change.snapshot || len(change.events) > 0 {
 			f.handler(change)
 		}
--- a/storage/follower_test.go
+++ b/storage/follower_test.go
@@ -65,3 +65,44 @@
 	is.NoErr(f.Run(ctx))
 	is.Equal(seen, []string{"w1 draining", "w2 gone"})
 }
+
+// Guards against a time bound on changes that may have happened before it.
+func TestChangesHappenAfterThePreviousCall(t *testing.T) {
+	is := is.New(t)
+	clock := timers.NewManual(time.Date(2026, 12, 5, 8, 0, 0, 0, time.UTC))
+	start := clock.Now()
+	store := &slowStore{pagedStore: pagedStore{
+		entries: []storage.Entry{entryAt("w1", "ready", 3)},
+		version: 5,
+		events:  []storage.Event{storage.NewEvent(entryAt("w1", "draining", 6), false), storage.NewEvent(entryAt("w1", "", 7), true)},
+	}, delay: func() { clock.Advance(time.Second) }}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var bounds []time.Time
+	f := storage.NewFollower(store, clock, "", 0, zerolog.Nop(), func(c storage.Change) {
+		at, _ := c.ChangedAfter()
+		bounds = append(bounds, at)
+		if c.Version() == 7 {
+			cancel()
+		}
+	})
+	is.NoErr(f.Run(ctx))
+	// Each call takes a second: the list, and then two watches.
+	is.Equal(bounds, []time.Time{{}, start, start.Add(time.Second)})
+}
+
+// slowStore is a pagedStore whose calls take time.
+type slowStore struct {
+	pagedStore
+	delay func()
+}
+
+func (s *slowStore) List(ctx context.Context, prefix string) ([]storage.Entry, storage.Version, error) {
+	s.delay()
+	return s.pagedStore.List(ctx, prefix)
+}
+
+func (s *slowStore) Watch(ctx context.Context, prefix string, after storage.Version, wait time.Duration) ([]storage.Event, storage.Version, error) {
+	s.delay()
+	return s.pagedStore.Watch(ctx, prefix, after, wait)
+}
