--- a/election/elector.go
+++ b/election/elector.go
@@ -87,12 +87,14 @@
 
 	// AcquiredEvent reports that this process has become the owner, by a claim
 	// that was sent at claimedAt, when the machine had been suspended for the
-	// given time.
+	// given time. released reports whether the owner before had released the
+	// cell with its leases settled.
 	AcquiredEvent struct {
 		epoch     order.Epoch
 		record    storage.Entry
 		claimedAt time.Time
 		suspended time.Duration
+		released  bool
 	}
 
 	// ConfirmedEvent reports that the store still had this process as the owner
@@ -199,6 +201,11 @@
 // Suspended returns how long the machine had been suspended at that time.
 func (e ConfirmedEvent) Suspended() time.Duration { return e.suspended }
 
+// Released reports whether the owner before released the cell with its leases
+// settled: none that it or an earlier owner granted lasts longer than a usual one
+// from ClaimedAt on.
+func (e AcquiredEvent) Released() bool { return e.released }
+
 // Member returns the owner, or an empty ID if the cell has had none.
 func (e OwnerEvent) Member() order.MemberID { return e.member }
 
@@ -326,18 +333,20 @@
 
 // Leave releases the cell and makes no claim any more. It is called before the
 // process exits, so that another one can claim at once.
-func (e *Elector) Leave(ctx context.Context) {
+func (e *Elector) Leave(ctx context.Context, settled order.Epoch) {
 	e.mu.Lock()
 	e.leaving = true
 	e.mu.Unlock()
-	e.Release(ctx)
+	e.Release(ctx, settled)
 }
 
 // Release revokes the lease, so that another process can claim the cell. This
-// one makes no claim for releaseCooldown.
-func (e *Elector) Release(ctx context.Context) {
+// one makes no claim for releaseCooldown. The cell must have been stopped.
+// settled is its epoch if its leases were settled then, and zero if not; the
+// ownership record passes that on to the next owner.
+func (e *Elector) Release(ctx context.Context, settled order.Epoch) {
 	e.mu.Lock()
-	isOwner, lease := e.isOwner, e.lease
+	isOwner, lease, record, version := e.isOwner, e.lease, e.owner, e.version
 	e.isOwner = false
 	e.noClaimBefore = e.clock.Now().Add(releaseCooldown)
 	e.mu.Unlock()
@@ -346,10 +355,30 @@
 	}
 	limited, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	recorded := record.Member() == e.self && record.Epoch() == settled
+	if recorded {
+		if err := e.recordRelease(limited, record, version); err != nil {
+			e.log.Warn().Err(err).Msg("helm: release not recorded")
+			recorded = false
+		}
+	}
 	if err := e.store.Revoke(limited, lease); err != nil {
 		e.log.Warn().Err(err).Msg("helm: lease not revoked, it will expire")
 	}
-	e.log.Info().Msg("helm: cell released")
+	e.log.Info().Bool("settled", recorded).Msg("helm: cell released")
+}
+
+// recordRelease marks the ownership record as released, unless another process
+// has claimed the cell.
+func (e *Elector) recordRelease(ctx context.Context, record order.OwnerRecord, version storage.Version) error {
+	value, err := record.WithReleased(true).MarshalCBOR()
+	if err != nil {
+		return fmt.Errorf("encode ownership record: %w", err)
+	}
+	if _, err := e.store.Commit(ctx, storage.Batch{}.Expect(ownerKey, version).Put(ownerKey, value, 0)); err != nil {
+		return fmt.Errorf("write ownership record: %w", err)
+	}
+	return nil
 }
 
 // StepDown ends the ownership of this process, because there is another
@@ -432,8 +461,10 @@
 		}
 		e.version = entry.Version()
 		if r.Epoch() >= e.owner.Epoch() {
+			if r.Epoch() > e.owner.Epoch() {
+				e.lastHeartbeatAt = time.Time{}
+			}
 			e.owner = r
-			e.lastHeartbeatAt = time.Time{}
 			e.log.Info().Str("owner", string(r.Member())).Uint64("epoch", uint64(r.Epoch())).
 				Uint64("version", uint64(entry.Version())).Msg("helm: owner")
 		}
@@ -568,8 +599,8 @@
 	limited, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	e.mu.Lock()
-	version := e.version
-	claim := order.OwnerRecord{}.WithMember(e.self).WithEpoch(e.owner.Epoch() + 1)
+	version, former := e.version, e.owner
+	claim := order.OwnerRecord{}.WithMember(e.self).WithEpoch(former.Epoch() + 1)
 	e.mu.Unlock()
 	sent, suspended := e.clock.Now(), e.clock.Suspended()
 	lease, err := e.store.Grant(limited, leaseTTL)
@@ -589,7 +620,10 @@
 	if err != nil {
 		return fmt.Errorf("write ownership record: %w", err)
 	}
-	e.recordAcquired(claim, storage.NewEntry(ownerKey, value, written), lease, sent, suspended)
+	e.recordAcquired(claim, lease, AcquiredEvent{
+		epoch: claim.Epoch(), record: storage.NewEntry(ownerKey, value, written), claimedAt: sent, suspended: suspended,
+		released: former.Released(),
+	})
 	return nil
 }
 
@@ -609,14 +643,16 @@
 }
 
 // recordAcquired makes this process the owner and emits the events.
-func (e *Elector) recordAcquired(claim order.OwnerRecord, record storage.Entry, lease storage.LeaseID, sent time.Time, suspended time.Duration) {
+func (e *Elector) recordAcquired(claim order.OwnerRecord, lease storage.LeaseID, acquired AcquiredEvent) {
+	sent := acquired.claimedAt
 	e.mu.Lock()
-	e.owner, e.version, e.lease = claim, record.Version(), lease
+	e.owner, e.version, e.lease = claim, acquired.record.Version(), lease
 	e.isOwner, e.renewedAt, e.confirmedAt, e.storeAnsweredAt = true, sent, sent, sent
 	e.mu.Unlock()
 	e.registry.Count("helm.acquired")
-	e.log.Info().Uint64("epoch", uint64(claim.Epoch())).Uint64("version", uint64(record.Version())).Msg("helm: cell acquired")
-	e.emit(AcquiredEvent{epoch: claim.Epoch(), record: record, claimedAt: sent, suspended: suspended})
+	e.log.Info().Uint64("epoch", uint64(claim.Epoch())).Uint64("version", uint64(acquired.record.Version())).
+		Bool("after_release", acquired.released).Msg("helm: cell acquired")
+	e.emit(acquired)
 	e.emit(OwnerEvent{member: claim.Member(), epoch: claim.Epoch()})
 }
 
--- a/election/elector_test.go
+++ b/election/elector_test.go
@@ -68,6 +68,28 @@
 	is.True(second.Epoch() > first.Epoch())
 }
 
+// Guards against a release that the next owner does not see, and against one that it sees without or after it.
+func TestNextOwnerSeesSettledRelease(t *testing.T) {
+	is := is.New(t)
+	store := storage.NewMemory(timers.New())
+	a, b, c := newElector("10.0.0.1:7000/a", store), newElector("10.0.0.2:7000/b", store), newElector("10.0.0.3:7000/c", store)
+	defer run(a)()
+	first := waitAcquired(t, a)
+	is.True(!first.Released())
+	stopB := run(b)
+	a.Leave(context.Background(), first.Epoch())
+	second := waitAcquired(t, b)
+	is.True(second.Released())
+	defer run(c)()
+	stopB() // b crashes
+	third := waitAcquired(t, c)
+	is.True(!third.Released())
+	d := newElector("10.0.0.4:7000/d", store)
+	defer run(d)()
+	c.Leave(context.Background(), second.Epoch()) // an earlier ownership
+	is.True(!waitAcquired(t, d).Released())
+}
+
 // A restarted process must claim its own cell without waiting for the lease of
 // its earlier run to expire.
 func TestReclaimsAfterRestart(t *testing.T) {
--- a/entryhost/cell.go
+++ b/entryhost/cell.go
@@ -16,6 +16,11 @@
 	// is retried.
 	recoverRetryDelay = 100 * time.Millisecond
 
+	// settleTimeout is how long a release of the cell waits for the results of
+	// open starts, which is checked every settleInterval.
+	settleTimeout  = 300 * time.Millisecond
+	settleInterval = 5 * time.Millisecond
+
 	// workerWatchPause is the pause between two answers of the workers' watch,
 	// so that several heartbeats arrive in one answer. It stays well below the
 	// 2 s within which a draining worker must get no new tasks.
@@ -76,15 +81,37 @@
 	}()
 }
 
-// stopCell stops the running cell, if any, and waits until it has ended.
-func (h *Host) stopCell() {
+// stopCell stops the running cell, if any, and waits until it has ended. It
+// returns the epoch of the cell if its leases were settled, and else zero.
+func (h *Host) stopCell() order.Epoch {
 	h.mu.Lock()
 	cancel, done := h.cancelCell, h.cellDone
-	h.runner, h.cancelCell, h.cellDone = nil, nil, nil
+	h.runner, h.cancelCell, h.cellDone, h.settledEpoch = nil, nil, nil, 0
 	h.mu.Unlock()
-	if cancel != nil {
-		cancel()
-		<-done
+	if cancel == nil {
+		return 0
+	}
+	cancel()
+	<-done
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.settledEpoch
+}
+
+// settleCell pauses the cell and waits until it is settled, for settleTimeout at
+// the most. Starts without a response would keep the next owner waiting.
+func (h *Host) settleCell() {
+	h.sendToCell(scheduler.NewPauseMsg(true))
+	h.mu.Lock()
+	cell := h.runner
+	h.mu.Unlock()
+	expired := h.clock.After(settleTimeout)
+	for cell != nil && !cell.Settled() {
+		select {
+		case <-h.clock.After(settleInterval):
+		case <-expired:
+			return
+		}
 	}
 }
 
@@ -94,6 +121,9 @@
 	started := h.clock.Now()
 	m := scheduler.New(h.self, e.Epoch(), e.Record(), h.limits, started, h.registry, h.log)
 	m.Handle(started, scheduler.NewConfirmedMsg(e.Epoch(), e.ClaimedAt(), e.Suspended()))
+	if e.Released() {
+		m.PredecessorReleased()
+	}
 	if err := h.restore(ctx, m); err != nil {
 		return err
 	}
@@ -120,6 +150,11 @@
 	}()
 	err := cell.Run(ctx)
 	cancel()
+	if err == nil && m.Settled(h.clock.Now()) {
+		h.mu.Lock()
+		h.settledEpoch = e.Epoch()
+		h.mu.Unlock()
+	}
 	return err
 }
 
--- a/entryhost/heartbeat.go
+++ b/entryhost/heartbeat.go
@@ -100,8 +100,8 @@
 	h.mu.Unlock()
 	if isolated {
 		h.log.Warn().Msg("pier: cell released, no link to any other host")
-		h.stopCell()
-		h.elector.Release(context.Background())
+		h.settleCell()
+		h.elector.Release(context.Background(), h.stopCell())
 	}
 }
 
@@ -133,8 +133,8 @@
 	}
 	// An owner without access to the store must not start tasks if another
 	// process may own the cell by now: one that still reaches the store, or
-	// one that this host has no link to.
-	h.sendToCell(scheduler.NewPauseMsg(!reachable && (peerReachesStore || isolated)))
+	// one that this host has no link to. One that stops starts none either.
+	h.sendToCell(scheduler.NewPauseMsg(h.stopping.Load() || !reachable && (peerReachesStore || isolated)))
 }
 
 func (h *Host) send(to order.MemberID, m order.Msg) {
--- a/entryhost/host.go
+++ b/entryhost/host.go
@@ -106,6 +106,10 @@
 		cancelCell context.CancelFunc
 		cellDone   chan struct{}
 
+		// settledEpoch is the epoch of the last cell that ended with its leases
+		// settled.
+		settledEpoch order.Epoch
+
 		// lastLinked is when the host last had a link or did not own the cell,
 		// and lastReleased when it last released the cell for lack of links.
 		// A host that never had a link may be the only one, so everLinked
@@ -342,8 +346,8 @@
 			h.log.Info().Str("signal", s.String()).Msg("pier: stopping")
 			h.stopping.Store(true)
 			h.sendHeartbeat(h.storeReachable())
-			h.stopCell()
-			h.elector.Leave(context.Background())
+			h.settleCell()
+			h.elector.Leave(context.Background(), h.stopCell())
 			select {
 			case <-h.clock.After(drainDelay):
 			case <-h.stop:
--- a/order/schema_gen.go
+++ b/order/schema_gen.go
@@ -3306,8 +3306,9 @@
 	OwnerRecord struct{ w ownerRecordWire }
 
 	ownerRecordWire struct {
-		Member MemberID `cbor:"1,keyasint,omitempty"`
-		Epoch  Epoch    `cbor:"2,keyasint,omitempty"`
+		Member   MemberID `cbor:"1,keyasint,omitempty"`
+		Epoch    Epoch    `cbor:"2,keyasint,omitempty"`
+		Released bool     `cbor:"3,keyasint,omitempty"`
 	}
 )
 
@@ -3327,6 +3328,15 @@
 	return x
 }
 
+// Released reports whether the owner has released the cell, so that no lease of
+// it or of an earlier owner lasts longer than a usual one from then on.
+func (x OwnerRecord) Released() bool { return x.w.Released }
+
+func (x OwnerRecord) WithReleased(v bool) OwnerRecord {
+	x.w.Released = v
+	return x
+}
+
 // MarshalCBOR implements cbor.Marshaler.
 func (x OwnerRecord) MarshalCBOR() ([]byte, error) { return marshal(x.w) }
 
--- a/scheduler/journal.go
+++ b/scheduler/journal.go
@@ -290,7 +290,7 @@
 }
 
 // RestoreWorkers adds the workers that the store lists, on which earlier owners
-// may have started tasks. Their leases may last for the longest time allowed.
+// may have started tasks. Their leases may last until formerLeaseEnd.
 // If the list cannot be read, any worker may have such tasks for that long, and
 // the next owner has to know. It is called before the first Handle.
 func (m *Scheduler) RestoreWorkers(e storage.Entry) {
@@ -298,7 +298,7 @@
 	if !e.Exists() {
 		return
 	}
-	leaseEnd := m.startedAt.Add(maxLeaseTime(m.limits.maxLease))
+	leaseEnd := m.formerLeaseEnd()
 	var list order.WorkerList
 	if err := list.UnmarshalCBOR(e.Value()); err != nil {
 		m.registry.Count("yard.worker_list_unreadable")
--- a/scheduler/ownership.go
+++ b/scheduler/ownership.go
@@ -72,6 +72,37 @@
 // confirmed the ownership after their end.
 func (m *Scheduler) lapsed(w *worker) bool { return m.confirmedSince(w.leaseEnd) }
 
+// PredecessorReleased records that the owner before had settled its leases when
+// it released the cell. It is called before RestoreWorkers.
+func (m *Scheduler) PredecessorReleased() { m.formerLease = leaseDuration }
+
+// formerLeaseEnd returns when all leases of earlier owners have certainly
+// expired, and none of their starts can be carried out any more.
+func (m *Scheduler) formerLeaseEnd() time.Time {
+	return m.startedAt.Add(maxLeaseTime(m.formerLease))
+}
+
+// Settled reports whether all leases of this and of earlier owners end within
+// the usual time, so that the next owner has to wait no longer: all runs are
+// known, no start may still be carried out, and no task is started any more.
+func (m *Scheduler) Settled(now time.Time) bool {
+	if !m.paused || m.superseded || !m.recovered() {
+		return false
+	}
+	latest := now.Add(maxLeaseTime(leaseDuration))
+	for _, w := range m.workers {
+		if w.leaseEnd.After(latest) {
+			return false
+		}
+		for _, a := range w.attempts {
+			if a.startOpen || a.state == attemptUnconfirmed {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // checkEpoch ends the ownership if the result of an order says that the worker
 // has accepted a later epoch.
 func (m *Scheduler) checkEpoch(err error) {
--- a/scheduler/runner.go
+++ b/scheduler/runner.go
@@ -32,6 +32,9 @@
 		wg          sync.WaitGroup
 		failed      chan error
 
+		// settled is whether the scheduler was settled after its last decisions.
+		settled atomic.Bool
+
 		// failingSince is when commits began to fail, and nil while they
 		// succeed.
 		failingSince atomic.Pointer[time.Time]
@@ -123,12 +126,17 @@
 		if r.scheduler.Superseded() {
 			return ErrLost
 		}
+		r.settled.Store(r.scheduler.Settled(r.clock.Now()))
 		for _, cmd := range commands {
 			r.execute(ctx, cmd)
 		}
 	}
 }
 
+// Settled reports whether the scheduler is paused and settled, see
+// Scheduler.Settled. It may be called from any goroutine.
+func (r *Runner) Settled() bool { return r.settled.Load() }
+
 // gather collects further inputs for a short while, so that one round of
 // decisions covers them all.
 func (r *Runner) gather(ctx context.Context) {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -57,6 +57,10 @@
 		refusals  refusals
 		startedAt time.Time
 
+		// formerLease is the longest time that a lease of an earlier owner can
+		// last from startedAt on.
+		formerLease time.Duration
+
 		// unlistedLeaseEnd is when the leases of workers that the stored list
 		// may lack have expired. It is zero if the list was read.
 		unlistedLeaseEnd time.Time
@@ -353,6 +357,7 @@
 		grantShares:    make(map[order.QueueName]*grantShare),
 		shareBuckets:   make(map[order.TeamName]*tokenBucket),
 		startedAt:      now,
+		formerLease:    limits.maxLease,
 		lastAdviceCall: uint64(epoch) << adviceCallBits,
 	}
 	m.journal = newJournal(record)
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -409,6 +409,12 @@
 	value, err := job.record().MarshalCBOR()
 	d.is.NoErr(err)
 	d.m.Restore(entries(jobKey(testJob), value))
+	d.restoreWorkers(workers)
+	return d
+}
+
+// restoreWorkers gives the scheduler a stored list of workers.
+func (d *driver) restoreWorkers(workers []order.WorkerID) {
 	var records []order.WorkerRecord
 	for _, id := range workers {
 		records = append(records, order.WorkerRecord{}.WithID(id).WithAddress("10.0.1.1:80").WithService("press"))
@@ -416,7 +422,6 @@
 	list, err := order.WorkerList{}.WithWorkers(records).MarshalCBOR()
 	d.is.NoErr(err)
 	d.m.RestoreWorkers(entries(WorkersKey, list)[0])
-	return d
 }
 
 // While workers have not reported to a new owner, the tasks that they may run
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -643,7 +643,7 @@
 	}
 	// From then on no earlier owner can have started anything on a worker that
 	// restarts and forgets which epoch it had accepted.
-	allLapsed := m.confirmedSince(m.startedAt.Add(maxLeaseTime(m.limits.maxLease)))
+	allLapsed := m.confirmedSince(m.formerLeaseEnd())
 	for _, w := range m.workers {
 		if !w.reported && (w.contacted || !m.lapsed(w) && !allLapsed) {
 			return false
