--- a/scheduler/exit_test.go
+++ b/scheduler/exit_test.go
@@ -67,10 +67,14 @@
 	if c.refused {
 		err = errRefused
 	}
+	if c.removal == "outage" {
+		d.unconfirmed = true
+	}
 	d.refuseUntil(id, err, removedAt)
+	d.unconfirmed = false
 	d.m.Handle(d.now, SuspendedMsg{total: c.suspended})
 	switch c.removal {
-	case "deleted":
+	case "deleted", "outage":
 		d.feed(deletion(id))
 	case "unreadable":
 		d.feed(NewWorkersMsg(nil, []order.WorkerID{id}, false))
@@ -143,3 +147,46 @@
 		d.advance(20 * time.Millisecond)
 	}
 }
+
+// Guards against a second run on behalf of a draining worker that reports after its entry was deleted.
+func TestWorkerThatReportsAfterItsDeletionHasNotLeft(t *testing.T) {
+	d := newDriverWithJob(t, []order.WorkerID{"w1", "w2"}, smallStep(1))
+	s, ok := d.takeStart()
+	d.is.True(ok)
+	d.answerStart(s, nil)
+	id := s.order.to.worker
+	running := []RunningTask{NewRunningTask(s.order.task, 1, "", 10)}
+	d.feed(NewWorkersMsg([]WorkerInfo{workerInfo(id, 1).WithIncarnation(1, true)}, nil, false).WithChangedAfter(d.now.Add(feedInterval), 0))
+	d.answerPoll(id, running, nil)
+	d.advance(2 * time.Second)
+	d.feed(deletion(id))
+	for range 3 {
+		d.answerPoll(id, running, nil)
+		d.advance(100 * time.Millisecond)
+	}
+	d.failPoll(id, errCut)
+	d.advance(100 * time.Millisecond)
+	if again, started := d.takeStart(); started {
+		t.Errorf("run %d at %s while %s runs", again.order.run, again.order.to.worker, id)
+	}
+}
+
+// Guards against a poll that failed before the deletion of the entry and counts as a sign of the exit.
+func TestFailureBeforeTheDeletionIsNoExit(t *testing.T) {
+	d := newDriverWithJob(t, []order.WorkerID{"w1", "w2"}, smallStep(1))
+	s, ok := d.takeStart()
+	d.is.True(ok)
+	d.answerStart(s, nil)
+	id := s.order.to.worker
+	running := []RunningTask{NewRunningTask(s.order.task, 1, "", 10)}
+	d.feed(NewWorkersMsg([]WorkerInfo{workerInfo(id, 1).WithIncarnation(1, true)}, nil, false).WithChangedAfter(d.now.Add(feedInterval), 0))
+	d.answerPoll(id, running, nil)
+	d.advance(2 * time.Second)
+	d.failPoll(id, errCut)
+	d.advance(2 * pollRetryDelay) // the next poll is under way
+	d.feed(deletion(id))
+	d.advance(100 * time.Millisecond)
+	if again, started := d.takeStart(); started {
+		t.Errorf("run %d at %s while %s runs, and its poll is open", again.order.run, again.order.to.worker, id)
+	}
+}
--- a/scheduler/ownership.go
+++ b/scheduler/ownership.go
@@ -25,9 +25,16 @@
 	}
 )
 
+// maxConfirmGap is how long the store may not confirm the ownership before it
+// counts as having been down. It does so every 0.3 s.
+const maxConfirmGap = time.Second
+
 // confirm records that no other process had owned the cell at the given time.
 func (m *Scheduler) confirm(at time.Time, suspended time.Duration) {
 	if at.After(m.confirmedAt) {
+		if at.Sub(m.confirmedAt) > maxConfirmGap {
+			m.steadySince = at
+		}
 		m.confirmedAt, m.confirmedSuspended = at, suspended
 	}
 }
@@ -36,6 +43,12 @@
 // after the given time.
 func (m *Scheduler) confirmedSince(t time.Time) bool { return !m.confirmedAt.Before(t) }
 
+// storeSteady reports whether the store has answered this owner since the time
+// without a gap in which it may have been down.
+func (m *Scheduler) storeSteady(now, since time.Time) bool {
+	return !since.Before(m.steadySince) && m.ownershipAge(now) <= maxConfirmGap
+}
+
 // leaseLength returns how long a lease that is granted now may last, and zero if
 // none may be granted. A successor may have claimed the cell at any time since
 // confirmedAt, and counts with leases of its predecessor for maxLease from its
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -69,7 +69,9 @@
 		// the cell since this one claimed it, and confirmedSuspended how long
 		// the machine had been suspended then. suspended is the present value.
 		// superseded reports whether another process owns the cell now.
+		// steadySince is the end of the last gap between confirmations.
 		confirmedAt        time.Time
+		steadySince        time.Time
 		confirmedSuspended time.Duration
 		suspended          time.Duration
 		superseded         bool
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -546,6 +546,8 @@
 	d.advance(2 * pollRetryDelay)
 	d.is.Equal(d.startedOf(testJob), 0)
 	d.feed(deletion("w2"))
+	d.advance(20 * time.Millisecond)
+	d.failPoll("w2", errRefused)
 	d.advance(100 * time.Millisecond)
 	d.is.Equal(d.startedOf(testJob), 1)
 }
@@ -746,7 +748,8 @@
 	_, ok := d.takeStart()
 	d.is.True(!ok) // it may be restarting
 	d.feed(deletion(drained))
-	d.advance(50 * time.Millisecond)
+	d.advance(pollRetryDelay)
+	d.failPoll(drained, errRefused)
 	s, ok := d.takeStart()
 	d.is.True(ok)
 	d.is.True(s.order.to.worker != drained)
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -24,11 +24,14 @@
 		discovered bool
 
 		// changedAfter is a time after which the entry was last written, and
-		// changedSuspended how long the machine had been suspended then. left
-		// reports whether the worker itself has removed its entry.
+		// changedSuspended how long the machine had been suspended then. leftAt
+		// is when this owner saw that the worker itself had removed its entry,
+		// and zero if it has not. departed reports whether a call that was sent
+		// later has failed.
 		changedAfter     time.Time
 		changedSuspended time.Duration
-		left             bool
+		leftAt           time.Time
+		departed         bool
 
 		// infoStale reports whether info describes an earlier incarnation, whose
 		// capacity and labels may differ.
@@ -205,7 +208,7 @@
 		m.journal.workersDirty = true
 	}
 	w.info, w.listed, w.discovered, w.draining = info, true, true, info.draining
-	w.infoStale, w.left = false, false
+	w.infoStale, w.leftAt, w.departed = false, time.Time{}, false
 	w.rack = rackOf(info.labels)
 	w.updateFree()
 	if w.draining {
@@ -226,7 +229,7 @@
 
 // markLeft handles a deleted entry. A draining worker whose entry goes sooner
 // than the discovery removes that of a silent one has removed it itself, as it
-// does at its exit.
+// does at its exit. Entries may also go while the store is down.
 func (m *Scheduler) markLeft(now time.Time, id order.WorkerID) {
 	w := m.workers[id]
 	if w == nil || !w.draining || w.changedAfter.IsZero() {
@@ -234,7 +237,9 @@
 	}
 	age := now.Sub(w.changedAfter) + m.suspended - w.changedSuspended
 	// The margin allows for a change that the store reported late.
-	w.left = age < m.limits.workerSilence*2/3
+	if age < m.limits.workerSilence*2/3 && m.storeSteady(now, w.changedAfter) {
+		w.leftAt = now
+	}
 }
 
 // markUnlisted handles a worker that the discovery no longer lists. It is
@@ -432,6 +437,7 @@
 		return
 	}
 	if in.err != nil {
+		w.departed = w.departed || !w.leftAt.IsZero() && in.sentAt.After(w.leftAt)
 		m.handlePollError(now, w, in.err)
 		return
 	}
@@ -453,6 +459,7 @@
 	}
 	w.missedCalls, w.connRefused, w.unresponsive = 0, false, false
 	w.contacted, w.reportedAt = true, now
+	w.leftAt = time.Time{}
 	w.reported = w.reported || !in.report.moreEnds
 	if !w.persisted() {
 		m.journal.workersDirty = true
@@ -588,18 +595,12 @@
 	}
 }
 
-// departed reports whether the worker has exited as planned. That it is not
-// listed and refuses connections is no proof: a worker behind a partition may do
-// both, and run on.
-func (w *worker) departed() bool {
-	return w.left && !w.listed && w.missedCalls > 0
-}
-
-// expireRuns ends the runs of workers that departed, and of workers without
-// contact whose last lease has lapsed.
+// expireRuns ends the runs of workers that have exited as planned, and of workers
+// without contact whose last lease has lapsed. A worker that is not listed and
+// refuses connections may run on behind a partition.
 func (m *Scheduler) expireRuns(now time.Time) {
 	for _, w := range m.sortedWorkers() {
-		if w.departed() {
+		if w.departed {
 			m.logEndedRuns(now, w, "yard: worker left")
 			m.dropAttempts(now, w, "worker left")
 			w.leaseEnd = time.Time{}
@@ -614,6 +615,7 @@
 			m.dropAttempts(now, w, "lease lapsed")
 		}
 		if w.storedAddress != "" && !w.contacted {
+			m.logEndedRuns(now, w, "yard: leases of earlier owners lapsed")
 			// Runs of earlier owners have expired, and this owner started none.
 			w.storedAddress, m.journal.workersDirty = "", true
 		}
@@ -623,10 +625,11 @@
 	}
 }
 
-// logEndedRuns logs that the runs of a worker count as ended although it did not
-// list their ends, with what is known of the worker.
+// logEndedRuns logs that the runs of a worker, or those that earlier owners may
+// have started there, count as ended although it did not list their ends. The
+// line has what is known of the worker.
 func (m *Scheduler) logEndedRuns(now time.Time, w *worker, message string) {
-	if len(w.attempts) == 0 {
+	if len(w.attempts) == 0 && (w.contacted || w.storedAddress == "") {
 		return
 	}
 	m.log.Warn().Str("worker", string(w.id)).Str("domain", string(w.info.domain)).Int("runs", len(w.attempts)).
