--- a/election/elector.go
+++ b/election/elector.go
@@ -235,6 +235,9 @@
 	e.HandleOwner(order.OwnerMsg{}.WithMember(from).WithEpoch(m.Epoch()))
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if from == e.deadMember {
+		e.deadMember = ""
+	}
 	if from != e.owner.Member() || m.Epoch() != e.owner.Epoch() {
 		return
 	}
@@ -559,8 +562,9 @@
 	return !e.leaseHeld && (!fresh || e.heartbeat.Leaving())
 }
 
-// MarkDead records that nothing listens at the owner's address. The
-// fencing token makes a wrong conclusion harmless.
+// MarkDead records that the owner's address refuses connections, so that this
+// process may claim the cell. A heartbeat of the owner takes it back. The fencing
+// token makes a wrong conclusion harmless.
 func (e *Elector) MarkDead(member order.MemberID) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
