--- a/scheduler/attempt.go
+++ b/scheduler/attempt.go
@@ -282,6 +282,7 @@
 // started or has already seen end, as an earlier owner may have started it. It
 // stops the run if its task is unknown, done or running elsewhere.
 func (m *Scheduler) adopt(now time.Time, w *worker, r RunningTask) *attempt {
+	m.keepEndedRun(w, r)
 	j := m.jobs[r.task.job]
 	a := &attempt{ref: r.task, run: r.run, worker: w, state: attemptRunning, startedAt: now, orderedAt: now}
 	var t *task
--- a/scheduler/ownership.go
+++ b/scheduler/ownership.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"time"
 
 	"chervilhollow/order"
@@ -141,6 +142,21 @@
 	m.endedRuns = append(m.endedRuns, endedRun{attempt: a, at: now, reason: reason})
 }
 
+// keepEndedRun drops the conclusion that a run has ended, which its worker
+// reports, unless its task waits for the next run already.
+func (m *Scheduler) keepEndedRun(w *worker, r RunningTask) {
+	m.endedRuns = slices.DeleteFunc(m.endedRuns, func(e endedRun) bool {
+		a := e.attempt
+		if a.worker != w || a.ref != r.task || a.run != r.run {
+			return false
+		}
+		if t := a.task; t != nil && t.attempt == a {
+			t.unassign()
+		}
+		return true
+	})
+}
+
 // requeueEndedRuns makes the tasks of ended runs wait again whose end the last
 // confirmation follows.
 func (m *Scheduler) requeueEndedRuns(now time.Time) {
