--- a/scheduler/attempt.go
+++ b/scheduler/attempt.go
@@ -196,11 +196,17 @@
 		return
 	}
 	a.startOpen = false
+	// Either a later response came first, or the next incarnation executed the
+	// start, so that no report of the present one says what became of the run.
+	overtaken := in.clock < a.worker.clockMillis
 	a.worker.recordClock(now, in.clock)
 	var refused *RefusedError
 	switch {
 	case in.err == nil:
 		a.markStarted()
+		if overtaken {
+			a.progressAt = time.Time{}
+		}
 		if a.state == attemptSent {
 			a.state = attemptRunning
 			a.orderedAt = now
--- a/scheduler/evidence_test.go
+++ b/scheduler/evidence_test.go
@@ -30,3 +30,37 @@
 		t.Errorf("run %d of %v at %s while w1 reports run %d", again.order.run, again.order.task, again.order.to.worker, s.order.run)
 	}
 }
+
+// Guards against a second run beside one that the first report of the next life lists.
+func TestNoSecondStartOfRunInReportOfNextLife(t *testing.T) {
+	d := newDriverWithJob(t, []order.WorkerID{"w1"}, smallStep(1))
+	s, ok := d.takeStart()
+	d.is.True(ok)
+	d.addWorkers("w2")
+	running := []RunningTask{NewRunningTask(s.order.task, s.order.run, "", 10)}
+	d.advance(2 * pollDelay)
+	d.answerPoll("w1", running, nil) // life 1 executed the first copy, whose response is lost
+	d.answerStart(s, nil)            // life 2 executed the second copy
+	d.advance(2 * pollDelay)
+	d.answerPollWith("w1", NewReport(20, 2, running, nil))
+	d.advance(200 * time.Millisecond)
+	if again, started := d.takeStart(); started {
+		t.Errorf("run %d of %v at %s while life 2 of w1 reports run %d", again.order.run, again.order.task, again.order.to.worker, s.order.run)
+	}
+}
+
+// Guards against a second run beside one that the next life began before the discovery listed that life.
+func TestNoSecondStartOfRunBegunBeforeNextLifeIsListed(t *testing.T) {
+	d := newDriverWithJob(t, []order.WorkerID{"w1"}, smallStep(1))
+	s, ok := d.takeStart()
+	d.is.True(ok)
+	d.addWorkers("w2")
+	d.advance(2 * pollDelay)
+	d.answerPoll("w1", []RunningTask{NewRunningTask(s.order.task, s.order.run, "", 10)}, nil)
+	d.feed(StartedMsg{order: s.order, clock: 40}) // life 2 executed a later copy
+	d.feed(NewWorkersMsg([]WorkerInfo{workerInfo("w1", 2)}, nil, false))
+	d.advance(200 * time.Millisecond)
+	if again, started := d.takeStart(); started {
+		t.Errorf("run %d of %v at %s while life 2 of w1 runs run %d", again.order.run, again.order.task, again.order.to.worker, s.order.run)
+	}
+}
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"strings"
 	"time"
 
@@ -199,7 +200,7 @@
 	}
 	if w.info.incarnation != 0 && info.incarnation > w.info.incarnation {
 		w.info = info
-		m.resetWorker(now, w)
+		m.resetWorker(now, w, nil)
 	}
 	if info.draining && !w.draining {
 		m.log.Info().Str("worker", string(info.id)).Msg("yard: worker drains")
@@ -262,19 +263,21 @@
 }
 
 // resetWorker drops the runs and the state of a worker's earlier incarnation.
-// Runs that may have started on the present one are kept.
-func (m *Scheduler) resetWorker(now time.Time, w *worker) {
+// Runs that may have started on the present one are kept, and so are those that
+// it has reported.
+func (m *Scheduler) resetWorker(now time.Time, w *worker, running []RunningTask) {
 	m.log.Info().Str("worker", string(w.id)).Int("runs", len(w.attempts)).Uint64("epoch", uint64(m.epoch)).
 		Dur("ownership_age", m.ownershipAge(now)).Msg("yard: worker restarted")
 	w.restartedAt = now
 	w.pollPermit.withdraw()
 	m.dropTickets(w.id)
 	for _, a := range w.attempts {
+		listed := slices.ContainsFunc(running, func(r RunningTask) bool { return r.task == a.ref && r.run == a.run })
 		switch {
 		case a.startPermit.withdraw():
 			m.release(a)
 			m.requeue(now, a, "worker started anew")
-		case a.reported() && !a.startOpen:
+		case a.reported() && !a.startOpen && !listed:
 			m.requeueConfirmed(now, a, "worker started anew")
 		default:
 			m.keepUnreported(now, a)
@@ -289,8 +292,8 @@
 }
 
 // keepUnreported keeps a run whose start was sent to an earlier incarnation of
-// the worker, and either no report has listed it or copies of the start are
-// still sent. The present incarnation may have got the start, as a worker checks
+// the worker, and either no report of that one has listed it, or the present one
+// has, or copies of the start are still sent. The present incarnation may have got the start, as a worker checks
 // only its ID.
 func (m *Scheduler) keepUnreported(now time.Time, a *attempt) {
 	a.stopPermit.withdraw()
@@ -446,7 +449,7 @@
 			return
 		}
 		w.info.incarnation, w.infoStale = in.report.incarnation, true
-		m.resetWorker(now, w)
+		m.resetWorker(now, w, in.report.running)
 		return
 	}
 	if w.info.incarnation == 0 {
