--- a/scheduler/attempt.go
+++ b/scheduler/attempt.go
@@ -198,14 +198,14 @@
 	a.startOpen = false
 	// Either a later response came first, or the next incarnation executed the
 	// start, so that no report of the present one says what became of the run.
-	overtaken := in.clock < a.worker.clockMillis
+	overtaken := in.clock != 0 && in.clock < a.worker.clockMillis
 	a.worker.recordClock(now, in.clock)
 	var refused *RefusedError
 	switch {
 	case in.err == nil:
 		a.markStarted()
 		if overtaken {
-			a.progressAt = time.Time{}
+			a.progressAt, a.uncertainAt = time.Time{}, now
 		}
 		if a.state == attemptSent {
 			a.state = attemptRunning
@@ -228,6 +228,7 @@
 			Str("worker", string(a.worker.id)).Msg("yard: no response to start")
 		// The worker gets no more starts until its next report.
 		a.worker.unresponsive = true
+		a.uncertainAt = now
 		if a.state == attemptSent {
 			a.state, a.orderedAt = attemptUnconfirmed, now
 		}
--- a/scheduler/evidence_test.go
+++ b/scheduler/evidence_test.go
@@ -64,3 +64,34 @@
 		t.Errorf("run %d of %v at %s while life 2 of w1 runs run %d", again.order.run, again.order.task, again.order.to.worker, s.order.run)
 	}
 }
+
+// Guards against a second run beside one that a start began in a life of the worker which the owner did not know, and whose lease is the longest.
+func TestStartInUnnoticedNextLifeCountsWithLongestLease(t *testing.T) {
+	for name, answered := range map[string]bool{"answered": true, "unanswered": false} {
+		t.Run(name, func(t *testing.T) {
+			d := newDriverWithJob(t, []order.WorkerID{"w1"}, smallStep(1))
+			s, ok := d.takeStart()
+			d.is.True(ok)
+			executedAt := d.now
+			if answered {
+				d.feed(StartedMsg{order: s.order, clock: 40})
+			} else {
+				d.answerStart(s, errCut)
+			}
+			d.addWorkers("w2")
+			for d.now.Sub(executedAt) < d.m.limits.maxLease {
+				if p, open := d.takePollOf("w1"); open {
+					d.feed(PolledMsg{order: p.order, sentAt: d.now, err: errCut})
+				}
+				if id, open := d.openPoll(map[order.WorkerID]bool{"w2": true}); open {
+					d.answerPoll(id, nil, nil)
+				}
+				d.advance(100 * time.Millisecond)
+				if again, started := d.takeStart(); started {
+					t.Fatalf("run %d at %s after %v, while the lease of life 2 lasts for %v",
+						again.order.run, again.order.to.worker, d.now.Sub(executedAt), d.m.limits.maxLease)
+				}
+			}
+		})
+	}
+}
--- a/scheduler/ownership.go
+++ b/scheduler/ownership.go
@@ -109,7 +109,7 @@
 			return false
 		}
 		for _, a := range w.attempts {
-			if a.startOpen || a.state == attemptUnconfirmed {
+			if a.startOpen || a.state == attemptUnconfirmed || !a.uncertainAt.IsZero() {
 				return false
 			}
 		}
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -316,11 +316,32 @@
 	}
 }
 
-// dropAttempts ends all runs of the worker and makes their tasks wait again.
-func (m *Scheduler) dropAttempts(now time.Time, w *worker, reason string) {
+// dropAttempts ends the runs of the worker for which ended is true, and makes
+// their tasks wait again.
+func (m *Scheduler) dropAttempts(now time.Time, w *worker, reason string, ended func(*attempt) bool) {
 	for _, a := range w.attempts {
-		m.requeueConfirmed(now, a, reason)
+		if ended(a) {
+			m.requeueConfirmed(now, a, reason)
+		}
+	}
+}
+
+// runLapsed reports whether a run has ended with the lapsed lease of its worker.
+// A start that a next life of the worker executed has the longest lease, as its
+// deadline is one of the former clock.
+func (m *Scheduler) runLapsed(a *attempt) bool {
+	return a.uncertainAt.IsZero() || m.confirmedSince(a.uncertainAt.Add(maxLeaseTime(m.limits.maxLease)))
+}
+
+// anyLapsed reports whether any run of a worker with a lapsed lease has ended
+// with it.
+func (m *Scheduler) anyLapsed(w *worker) bool {
+	for _, a := range w.attempts {
+		if m.runLapsed(a) {
+			return true
+		}
 	}
+	return false
 }
 
 // pollWorkers sends each worker its next poll when it is due.
@@ -542,6 +563,7 @@
 // without effect, and moves a stalled run.
 func (m *Scheduler) recordProgress(now time.Time, a *attempt, r RunningTask) {
 	a.markStarted()
+	a.uncertainAt = time.Time{}
 	if a.state == attemptSent || a.state == attemptUnconfirmed {
 		a.state = attemptRunning
 	}
@@ -605,17 +627,20 @@
 	for _, w := range m.sortedWorkers() {
 		if w.departed {
 			m.logEndedRuns(now, w, "yard: worker left")
-			m.dropAttempts(now, w, "worker left")
+			m.dropAttempts(now, w, "worker left", func(*attempt) bool { return true })
 			w.leaseEnd = time.Time{}
 		}
 		idle := !w.listed && len(w.attempts) == 0
 		if !m.lapsed(w) || (w.contacted && w.missedCalls == 0 && !idle) {
 			continue
 		}
-		if len(w.attempts) > 0 {
+		if m.anyLapsed(w) {
 			m.registry.Count("yard.workers.lapsed")
 			m.logEndedRuns(now, w, "yard: leases lapsed")
-			m.dropAttempts(now, w, "lease lapsed")
+			m.dropAttempts(now, w, "lease lapsed", m.runLapsed)
+		}
+		if len(w.attempts) > 0 {
+			continue
 		}
 		if w.storedAddress != "" && !w.contacted {
 			m.logEndedRuns(now, w, "yard: leases of earlier owners lapsed")
