--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -84,10 +84,12 @@
 
 		// unackedEnds are the reported ends that are not acknowledged yet,
 		// lastEnded is the number of the last end handled, and acked that of
-		// the last one acknowledged.
+		// the last one acknowledged. firstListed is that of the first end in the
+		// last report, and zero if it had none.
 		unackedEnds []unackedEnd
 		lastEnded   int64
 		acked       int64
+		firstListed int64
 		attempts    map[attemptKey]*attempt
 		used        order.Resources
 
@@ -286,7 +288,7 @@
 	// An order of the earlier life that is still under way may give the present
 	// one the longest lease, as it ends on another clock.
 	w.leaseEnd = timers.Later(w.leaseEnd, now.Add(maxLeaseTime(m.limits.maxLease)))
-	w.unackedEnds, w.lastEnded, w.acked = nil, 0, 0
+	w.unackedEnds, w.lastEnded, w.acked, w.firstListed = nil, 0, 0, 0
 	w.clockReadAt, w.contacted, w.reported, w.failures = time.Time{}, false, false, nil
 	w.missedCalls, w.unresponsive, w.cooldownUntil = 0, false, time.Time{}
 }
@@ -377,8 +379,10 @@
 		return o
 	}
 	o.wait = pollWait
-	// After an order without a response another life may be there as well.
-	if !w.unresponsive {
+	// After an order without a response another life may be there as well. Ends
+	// that the worker no longer lists need no acknowledgement, which could make
+	// the next life forget other ends of the same numbers.
+	if !w.unresponsive && w.firstListed != 0 && w.acked >= w.firstListed {
 		o.acked = w.acked
 	}
 	if len(w.attempts) == 0 {
@@ -491,6 +495,10 @@
 	w.recordClock(now, in.report.clock)
 	m.recordUnreadable(w, in.report.unreadable)
 	m.handleEnds(now, w, in.report.ended)
+	w.firstListed = 0
+	if len(in.report.ended) > 0 {
+		w.firstListed = in.report.ended[0].number
+	}
 	m.reconcileRuns(now, w, in)
 	w.nextPollAt = now.Add(pollDelay)
 }
