--- a/election/elector.go
+++ b/election/elector.go
@@ -389,7 +389,7 @@
 // process is not the owner.
 func (e *Elector) StepDown(reason string) {
 	e.mu.Lock()
-	lost := e.isOwner
+	lost, epoch := e.isOwner, e.owner.Epoch()
 	e.isOwner = false
 	if lost {
 		e.noClaimBefore = e.clock.Now().Add(reclaimDelay)
@@ -397,7 +397,7 @@
 	e.mu.Unlock()
 	if lost {
 		e.registry.Count("helm.lost")
-		e.log.Warn().Str("reason", reason).Msg("helm: cell lost")
+		e.log.Warn().Str("reason", reason).Uint64("known_epoch", uint64(epoch)).Msg("helm: cell lost")
 		e.emit(LostEvent{})
 	}
 }
@@ -712,7 +712,7 @@
 	stored, err := e.store.Get(limited, ownerKey)
 	if err != nil {
 		e.registry.Count("helm.confirm_failed")
-		e.log.Debug().Err(err).Msg("helm: ownership not confirmed")
+		e.log.Warn().Err(err).Dur("confirmed_age", e.ConfirmedAge()).Msg("helm: ownership not confirmed")
 		return
 	}
 	e.mu.Lock()
--- a/entryhost/cell.go
+++ b/entryhost/cell.go
@@ -74,10 +74,12 @@
 	h.mu.Unlock()
 	go func() {
 		defer close(done)
-		if err := h.runCell(ctx, e); err != nil && ctx.Err() == nil {
+		err := h.runCell(ctx, e)
+		if err != nil && ctx.Err() == nil {
 			h.log.Warn().Err(err).Msg("pier: cell failed")
 			h.elector.StepDown(err.Error())
 		}
+		h.log.Info().Uint64("epoch", uint64(e.Epoch())).Msg("pier: cell stopped")
 	}()
 }
 
--- a/entryhost/host.go
+++ b/entryhost/host.go
@@ -463,7 +463,9 @@
 	}
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		h.elector.MarkDead(owner)
+		return
 	}
+	h.log.Info().Err(err).Str("owner", string(owner)).Msg("pier: owner not reached")
 }
 
 // advise calls the advice service for the owner and sends the result back.
--- a/scheduler/attempt.go
+++ b/scheduler/attempt.go
@@ -102,7 +102,8 @@
 	t.unassign()
 	m.registry.Count("yard.retries." + counterName(reason))
 	m.log.Info().Str("job", string(a.ref.job)).Int("step", a.ref.step).Int("task", a.ref.index).Int("run", a.run).
-		Str("worker", string(a.worker.id)).Uint64("epoch", uint64(m.epoch)).Str("reason", reason).Msg("yard: run lost")
+		Str("worker", string(a.worker.id)).Uint64("epoch", uint64(m.epoch)).Str("reason", reason).
+		Bool("reported", a.reported()).Dur("since_start", now.Sub(a.startedAt)).Msg("yard: run lost")
 	m.stopGang(now, t.step, a.run)
 }
 
@@ -193,6 +194,7 @@
 	m.checkEpoch(in.err)
 	a := m.findAttempt(in.order.to, in.order.task, in.order.run)
 	if a == nil {
+		m.logLateStart(in)
 		return
 	}
 	a.startOpen = false
@@ -219,6 +221,8 @@
 		m.requeue(now, a, "start withdrawn")
 	case errors.Is(in.err, ErrNotSent):
 		m.registry.Count("yard.start_failed.not_sent")
+		m.log.Warn().Err(in.err).Str("job", string(a.ref.job)).Int("step", a.ref.step).Int("task", a.ref.index).
+			Int("run", a.run).Str("worker", string(a.worker.id)).Msg("yard: start not sent")
 		a.worker.missedCalls++
 		m.release(a)
 		m.requeue(now, a, "worker not reached")
@@ -235,6 +239,17 @@
 	}
 }
 
+// logLateStart logs the result of a start whose run has ended or was given up
+// before. Without an error the worker has executed the start.
+func (m *Scheduler) logLateStart(in StartedMsg) {
+	if errors.Is(in.err, errWithdrawn) {
+		return
+	}
+	o := in.order
+	m.log.Info().Err(in.err).Str("job", string(o.task.job)).Int("step", o.task.step).Int("task", o.task.index).Int("run", o.run).
+		Str("worker", string(o.to.worker)).Uint64("epoch", uint64(o.epoch)).Msg("yard: late result of a start")
+}
+
 // handleRefusal handles a refused start. It frees the capacity and requeues the
 // task, unless the worker may have the run.
 func (m *Scheduler) handleRefusal(now time.Time, a *attempt, refused *RefusedError) {
@@ -305,8 +320,8 @@
 	}
 	m.allocate(a)
 	if t == nil || j.state.Ended() || t.state != taskWaiting || t.attempt != nil || (t.step.spec.Gang() && !t.step.sameRun(r.run)) {
-		m.log.Warn().Str("job", string(r.task.job)).Int("task", r.task.index).Int("run", r.run).
-			Str("worker", string(w.id)).Uint64("epoch", uint64(m.epoch)).Msg("yard: unexpected run stopped")
+		m.log.Warn().Str("job", string(r.task.job)).Int("step", r.task.step).Int("task", r.task.index).Int("run", r.run).
+			Str("worker", string(w.id)).Uint64("epoch", uint64(m.epoch)).Bool("known_task", t != nil).Msg("yard: unexpected run stopped")
 		m.stop(now, a)
 		return a
 	}
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -51,6 +51,7 @@
 		return
 	}
 	recovered := m.recovered()
+	m.logRecovered(now, recovered)
 	m.updateUnconfirmed(now, recovered)
 	reserved := make(map[order.WorkerID]bool)
 	unplaced := 0
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -93,7 +93,10 @@
 		nextPlacement time.Time
 		paused        bool
 		startsHeld    bool
-		commands      []Command
+
+		// recoveryLogged reports whether the log has the end of the recovery.
+		recoveryLogged bool
+		commands       []Command
 	}
 
 	// tokenBucket limits the jobs that a team may submit within its share. The
@@ -499,6 +502,8 @@
 // removeWorker removes a worker that can have no more runs. The stored list
 // follows, as a later owner would wait for the worker's report otherwise.
 func (m *Scheduler) removeWorker(w *worker) {
+	m.log.Info().Str("worker", string(w.id)).Bool("contacted", w.contacted).Bool("reported", w.reported).
+		Bool("refuses", w.connRefused).Time("lease_end", w.leaseEnd).Uint64("epoch", uint64(m.epoch)).Msg("yard: worker removed")
 	delete(m.workers, w.id)
 	m.sorted = nil
 	m.journal.workersDirty = true
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -269,7 +269,7 @@
 // it has reported.
 func (m *Scheduler) resetWorker(now time.Time, w *worker, running []RunningTask) {
 	m.log.Info().Str("worker", string(w.id)).Int("runs", len(w.attempts)).Uint64("epoch", uint64(m.epoch)).
-		Dur("ownership_age", m.ownershipAge(now)).Msg("yard: worker restarted")
+		Int64("life", w.info.incarnation).Dur("ownership_age", m.ownershipAge(now)).Msg("yard: worker restarted")
 	w.restartedAt = now
 	w.pollPermit.withdraw()
 	m.dropTickets(w.id)
@@ -483,7 +483,7 @@
 	if !w.contacted || w.missedCalls > 0 {
 		m.log.Info().Str("worker", string(w.id)).Int("running", len(in.report.running)).
 			Int("ended", len(in.report.ended)).Int("known", len(w.attempts)).Uint64("epoch", uint64(m.epoch)).
-			Msg("yard: contact with worker established")
+			Int64("life", w.info.incarnation).Msg("yard: contact with worker established")
 	}
 	w.missedCalls, w.connRefused, w.unresponsive = 0, false, false
 	w.contacted, w.reportedAt = true, now
@@ -507,11 +507,18 @@
 // until its next report. Only the first of several failures is logged.
 func (m *Scheduler) handlePollError(now time.Time, w *worker, err error) {
 	w.missedCalls++
-	w.connRefused = errors.Is(err, ErrNotListening)
+	connRefused := errors.Is(err, ErrNotListening)
+	if connRefused && !w.connRefused && w.missedCalls > 1 {
+		m.log.Info().Str("worker", string(w.id)).Bool("listed", w.listed).Int("runs", len(w.attempts)).
+			Uint64("epoch", uint64(m.epoch)).Msg("yard: worker's address refuses connections")
+	}
+	w.connRefused = connRefused
 	w.nextPollAt = now.Add(pollRetryDelay)
 	var refused *RefusedError
 	if !w.listed && errors.As(err, &refused) && refused.reason == RefusedIncarnation {
 		// Another worker has the address, so this one and its runs have ended.
+		m.log.Info().Str("worker", string(w.id)).Int("runs", len(w.attempts)).Uint64("epoch", uint64(m.epoch)).
+			Msg("yard: another worker at the address")
 		w.leaseEnd = time.Time{}
 	}
 	if w.missedCalls == 1 {
@@ -690,3 +697,20 @@
 	}
 	return true
 }
+
+// logRecovered logs once that all runs of earlier owners are known, with the
+// workers that have not reported: their leases have lapsed.
+func (m *Scheduler) logRecovered(now time.Time, recovered bool) {
+	if !recovered || m.recoveryLogged {
+		return
+	}
+	m.recoveryLogged = true
+	silent := 0
+	for _, w := range m.workers {
+		if !w.reported {
+			silent++
+		}
+	}
+	m.log.Info().Uint64("epoch", uint64(m.epoch)).Int("workers", len(m.workers)).Int("not_reported", silent).
+		Dur("took", now.Sub(m.startedAt)).Dur("ownership_age", m.ownershipAge(now)).Msg("yard: runs of earlier owners known")
+}
