--- a/soak/fault_test.go
+++ b/soak/fault_test.go
@@ -39,6 +39,7 @@
 	{"connections are reset", false, (*soak).resetConnections},
 	{"a worker crashes", false, (*soak).crashWorker},
 	{"a worker is cut off", false, (*soak).cutWorker},
+	{"a worker is cut off and refuses connections", false, (*soak).refuseAtWorker},
 	{"workers answer late or not at all", false, (*soak).loseWorkerAnswers},
 	{"a worker fails all tasks or makes no progress", false, (*soak).degradeWorker},
 }
@@ -285,6 +286,25 @@
 	return impair(s.pickCut(), s.cluster.workerProxies[s.intN(workerCount)])
 }
 
+// refuseAtWorker cuts a worker off from the store and from all hosts for longer
+// than its entry lasts, while connections to it are refused.
+func (s *soak) refuseAtWorker() (func() error, error) {
+	i, release := s.acquireWorker()
+	if i < 0 {
+		return noCleanup, nil
+	}
+	length := time.Duration(5500+s.intN(4000)) * time.Millisecond
+	s.cluster.workers[i].CutOff(length)
+	s.cluster.workerProxies[i].closeListener()
+	s.runAfter(length, func() {
+		if err := s.cluster.workerProxies[i].reopenListener(); err != nil {
+			s.addFailure("reopen listener: %v", err)
+		}
+		release()
+	})
+	return noCleanup, nil
+}
+
 // faultWorkers injects faults into workers until the fault ends.
 func (s *soak) faultWorkers(f standin.WorkerFaults, workers ...*standin.Worker) (func() error, error) {
 	for _, w := range workers {
--- a/soak/inject_test.go
+++ b/soak/inject_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net"
+	"syscall"
 	"testing"
 	"time"
 
@@ -73,4 +74,13 @@
 		_, err = d.Read(make([]byte, 1))
 	}
 	is.True(err != nil)
+	p.setImpairment(impairment{})
+	p.closeListener()
+	_, err = net.Dial("tcp", p.address())
+	is.True(errors.Is(err, syscall.ECONNREFUSED))
+	is.NoErr(p.reopenListener())
+	c, err = net.Dial("tcp", p.address())
+	is.NoErr(err)
+	defer c.Close()
+	is.NoErr(roundTrip(longWait))
 }
--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -10,11 +10,12 @@
 	// proxy forwards TCP connections on loopback and injects network faults
 	// into them.
 	proxy struct {
-		listener net.Listener
-		target   string
-		wg       sync.WaitGroup
+		listenAddress string
+		target        string
+		wg            sync.WaitGroup
 
 		mu         sync.Mutex
+		listener   net.Listener
 		impairment impairment
 		conns      map[*connPair]bool
 		changed    chan struct{}
@@ -39,12 +40,34 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{listener: l, target: target, conns: make(map[*connPair]bool), changed: make(chan struct{})}
-	p.wg.Go(p.accept)
+	p := &proxy{listenAddress: l.Addr().String(), listener: l, target: target, conns: make(map[*connPair]bool), changed: make(chan struct{})}
+	p.wg.Go(func() { p.accept(l) })
 	return p, nil
 }
 
-func (p *proxy) address() string { return p.listener.Addr().String() }
+func (p *proxy) address() string { return p.listenAddress }
+
+// closeListener resets all open connections. New ones are refused, as where
+// nothing listens.
+func (p *proxy) closeListener() {
+	p.mu.Lock()
+	p.listener.Close()
+	p.mu.Unlock()
+	p.reset()
+}
+
+// reopenListener ends closeListener.
+func (p *proxy) reopenListener() error {
+	l, err := net.Listen("tcp", p.listenAddress)
+	if err != nil {
+		return err
+	}
+	p.mu.Lock()
+	p.listener = l
+	p.mu.Unlock()
+	p.wg.Go(func() { p.accept(l) })
+	return nil
+}
 
 // setImpairment sets the fault of all connections. The zero value ends it.
 func (p *proxy) setImpairment(i impairment) {
@@ -65,8 +88,7 @@
 }
 
 func (p *proxy) close() {
-	p.listener.Close()
-	p.reset()
+	p.closeListener()
 	p.setImpairment(impairment{refuse: true})
 	p.wg.Wait()
 }
@@ -79,9 +101,9 @@
 	return p.impairment, p.changed
 }
 
-func (p *proxy) accept() {
+func (p *proxy) accept(l net.Listener) {
 	for {
-		client, err := p.listener.Accept()
+		client, err := l.Accept()
 		if err != nil {
 			return
 		}
