--- a/entryhost/cell.go
+++ b/entryhost/cell.go
@@ -126,7 +126,7 @@
 	if e.Released() {
 		m.PredecessorReleased()
 	}
-	if err := h.restore(ctx, m); err != nil {
+	if err := h.restore(ctx, m, e); err != nil {
 		return err
 	}
 	cell := scheduler.NewRunner(m, h.clock, h.deps.store, h.deps.workers, h.node, h.log)
@@ -161,8 +161,10 @@
 }
 
 // restore reads the jobs and workers that earlier owners stored, and the
-// operators' documents. It retries until the store answers.
-func (h *Host) restore(ctx context.Context, m *scheduler.Scheduler) error {
+// operators' documents. It retries until the store answers. The ownership record
+// is read last: if it has changed, a later owner may have written what was read,
+// and restore returns scheduler.ErrLost.
+func (h *Host) restore(ctx context.Context, m *scheduler.Scheduler, e election.AcquiredEvent) error {
 	for ctx.Err() == nil {
 		jobs, _, err := h.deps.store.List(ctx, scheduler.JobPrefix)
 		var workers storage.Entry
@@ -174,7 +176,16 @@
 		if err == nil {
 			operator, version, err = h.deps.store.List(ctx, h.deps.decoder.OperatorPrefix())
 		}
+		var record storage.Entry
+		sent, suspended := h.clock.Now(), h.clock.Suspended()
 		if err == nil {
+			record, err = h.deps.store.Get(ctx, e.Record().Key())
+		}
+		if err == nil {
+			if record.Version() != e.Record().Version() {
+				return scheduler.ErrLost
+			}
+			m.Handle(h.clock.Now(), scheduler.NewConfirmedMsg(e.Epoch(), sent, suspended))
 			h.replaceOperatorDocs(operator, version)
 			m.Restore(jobs)
 			m.RestoreWorkers(workers)
