--- a/scheduler/attempt.go
+++ b/scheduler/attempt.go
@@ -197,7 +197,7 @@
 		m.logLateStart(in)
 		return
 	}
-	a.startOpen = false
+	a.startOpen = in.unanswered
 	// Either a later response came first, or the next incarnation executed the
 	// start, so that no report of the present one says what became of the run.
 	overtaken := in.clock != 0 && in.clock < a.worker.clockMillis
--- a/scheduler/evidence_test.go
+++ b/scheduler/evidence_test.go
@@ -95,3 +95,31 @@
 		})
 	}
 }
+
+// Guards against a second run beside one that the next life begins by a copy of the start that had no response.
+func TestNoSecondStartWhileUnansweredCopyMayReachNextLife(t *testing.T) {
+	d := newDriverWithJob(t, []order.WorkerID{"w1"}, smallStep(1))
+	s, ok := d.takeStart()
+	d.is.True(ok)
+	d.addWorkers("w2")
+	d.advance(2 * pollDelay)
+	d.answerPoll("w1", []RunningTask{NewRunningTask(s.order.task, s.order.run, "", 10)}, nil)
+	d.feed(StartedMsg{order: s.order, clock: d.workerClock(), unanswered: true})
+	d.feed(NewWorkersMsg([]WorkerInfo{workerInfo("w1", 2)}, nil, false))
+	d.advance(200 * time.Millisecond)
+	d.is.Equal(d.startedOf(testJob), 0)
+	// A stopped run is rejected by the life that got the stop.
+	p, ok := d.takePollOf("w1")
+	d.is.True(ok)
+	d.feed(PolledMsg{order: p.order, sentAt: d.now, report: NewReport(30, 2, nil, nil)})
+	st, ok := d.takeStop()
+	d.is.True(ok)
+	d.is.Equal(st.order.to.incarnation, int64(2))
+	d.feed(StoppedMsg{order: st.order, clock: 60})
+	d.advance(2 * pollDelay)
+	p, ok = d.takePollOf("w1")
+	d.is.True(ok)
+	d.feed(PolledMsg{order: p.order, sentAt: d.now, report: NewReport(90, 2, nil, nil)})
+	d.advance(100 * time.Millisecond)
+	d.is.Equal(d.startedOf(testJob), 1)
+}
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -142,10 +142,10 @@
 	// is unknown if the journal no longer has the job. orderedAt is when the
 	// last order was sent or the start confirmed, and progressAt when percent
 	// last changed. startOpen reports whether copies of the start may still be
-	// sent. uncertainAt is when the start had its result, if that leaves open
-	// which life of the worker has the run, and zero once a report lists it.
-	// startPermit is nil for an adopted run, and stopPermit unless a stop
-	// is queued or in flight.
+	// sent or executed. uncertainAt is when the start had its result, if that
+	// leaves open which life of the worker has the run, and zero once a report
+	// lists it. startPermit is nil for an adopted run, and stopPermit unless a
+	// stop is queued or in flight.
 	attempt struct {
 		ref             TaskRef
 		run             int
--- a/scheduler/runner.go
+++ b/scheduler/runner.go
@@ -237,8 +237,9 @@
 func (r *Runner) sendOrder(ctx context.Context, cmd Command) {
 	switch cmd := cmd.(type) {
 	case StartCmd:
-		clock, err := r.sendWithRetry(ctx, cmd.order.permit, func(ctx context.Context) (int64, error) { return r.workers.Start(ctx, cmd.order) })
-		r.deliver(ctx, StartedMsg{order: cmd.order, clock: clock, err: err})
+		d := delivery{permit: cmd.order.permit}
+		clock, err := r.sendUntilFinal(ctx, &d, func(ctx context.Context) (int64, error) { return r.workers.Start(ctx, cmd.order) })
+		r.deliver(ctx, StartedMsg{order: cmd.order, clock: clock, err: err, unanswered: d.unconfirmed != nil})
 	case StopCmd:
 		clock, err := r.sendWithRetry(ctx, cmd.order.permit, func(ctx context.Context) (int64, error) { return r.workers.Stop(ctx, cmd.order) })
 		r.deliver(ctx, StoppedMsg{order: cmd.order, clock: clock, err: err})
@@ -249,7 +250,11 @@
 // times and only while the permit holds. That is safe because a worker executes
 // the start or stop of a run once, however often it gets the order.
 func (r *Runner) sendWithRetry(ctx context.Context, p *permit, send func(context.Context) (int64, error)) (int64, error) {
-	d := delivery{permit: p}
+	return r.sendUntilFinal(ctx, &delivery{permit: p}, send)
+}
+
+// sendUntilFinal makes the attempts of a delivery.
+func (r *Runner) sendUntilFinal(ctx context.Context, d *delivery, send func(context.Context) (int64, error)) (int64, error) {
 	for {
 		if ctx.Err() != nil {
 			return 0, d.abandon()
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -184,11 +184,13 @@
 		reply order.AdviceReplyMsg
 	}
 
-	// StartedMsg is the result of a StartCmd.
+	// StartedMsg is the result of a StartCmd. unanswered reports whether some
+	// copy of the order had no response, and may still be executed.
 	StartedMsg struct {
-		order StartOrder
-		clock int64
-		err   error
+		order      StartOrder
+		clock      int64
+		err        error
+		unanswered bool
 	}
 
 	// StoppedMsg is the result of a StopCmd.
