--- /dev/null
+++ b/scheduler/exit_evidence_test.go
@@ -0,0 +1,68 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"chervilhollow/order"
+)
+
+// drainedRun is a run on a draining worker whose entry was just changed.
+type drainedRun struct {
+	*driver
+	start   StartCmd
+	id      order.WorkerID
+	running []RunningTask
+}
+
+func newDrainedRun(t *testing.T) drainedRun {
+	d := newDriverWithJob(t, []order.WorkerID{"w1", "w2"}, smallStep(1))
+	s, ok := d.takeStart()
+	d.is.True(ok)
+	d.answerStart(s, nil)
+	r := drainedRun{driver: d, start: s, id: s.order.to.worker}
+	r.running = []RunningTask{NewRunningTask(s.order.task, s.order.run, "", 10)}
+	r.list(true)
+	r.answerPoll(r.id, r.running, nil)
+	return r
+}
+
+// list feeds a change of the worker's entry.
+func (r drainedRun) list(draining bool) {
+	entry := NewWorkersMsg([]WorkerInfo{workerInfo(r.id, 1).WithIncarnation(1, draining)}, nil, false)
+	r.feed(entry.WithChangedAfter(r.now.Add(feedInterval), r.m.suspended))
+}
+
+// noSecondRun fails the test if the task starts again.
+func (r drainedRun) noSecondRun() {
+	r.t.Helper()
+	if again, started := r.takeStart(); started {
+		r.t.Errorf("run %d at %s while %s may run %d", again.order.run, again.order.to.worker, r.id, r.start.order.run)
+	}
+}
+
+// answerPollIfOpen fails the open poll of the worker, if there is one.
+func (r drainedRun) answerPollIfOpen(err error) {
+	r.t.Helper()
+	if _, open := r.openPoll(map[order.WorkerID]bool{r.id: true}); open {
+		r.failPoll(r.id, err)
+	}
+}
+
+// Guards against a second run beside one that its worker reports once it is listed again, before the store confirms the ownership.
+func TestNoRestartOfRunReportedByWorkerListedAgain(t *testing.T) {
+	r := newDrainedRun(t)
+	r.advance(500 * time.Millisecond)
+	r.feed(deletion(r.id))
+	r.answerPollIfOpen(errCut)
+	r.advance(300 * time.Millisecond)
+	r.unconfirmed = true
+	r.answerPollIfOpen(errCut) // sent after the deletion: counts as an exit
+	r.advance(20 * time.Millisecond)
+	r.list(true)
+	r.advance(2 * pollDelay)
+	r.answerPoll(r.id, r.running, nil)
+	r.unconfirmed = false
+	r.advance(200 * time.Millisecond)
+	r.noSecondRun()
+}
--- a/scheduler/ownership.go
+++ b/scheduler/ownership.go
@@ -147,7 +147,7 @@
 func (m *Scheduler) keepEndedRun(w *worker, r RunningTask) {
 	m.endedRuns = slices.DeleteFunc(m.endedRuns, func(e endedRun) bool {
 		a := e.attempt
-		if a.worker != w || a.ref != r.task || a.run != r.run {
+		if a.worker.id != w.id || a.ref != r.task || a.run != r.run {
 			return false
 		}
 		if t := a.task; t != nil && t.attempt == a {
