--- a/scheduler/exit_evidence_test.go
+++ b/scheduler/exit_evidence_test.go
@@ -66,3 +66,15 @@
 	r.advance(200 * time.Millisecond)
 	r.noSecondRun()
 }
+
+// Guards against a worker that refuses a poll and counts as one that has exited.
+func TestWorkerThatRefusesPollHasNotLeft(t *testing.T) {
+	r := newDrainedRun(t)
+	r.advance(500 * time.Millisecond)
+	r.feed(deletion(r.id))
+	for range 4 {
+		r.answerPollIfOpen(NewRefusedError(RefusedBusy, 0))
+		r.advance(300 * time.Millisecond)
+	}
+	r.noSecondRun()
+}
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -465,7 +465,7 @@
 		return
 	}
 	if in.err != nil {
-		w.departed = w.departed || !w.leftAt.IsZero() && in.sentAt.After(w.leftAt)
+		w.recordFailedCall(in)
 		m.handlePollError(now, w, in.err)
 		return
 	}
@@ -503,6 +503,17 @@
 	w.nextPollAt = now.Add(pollDelay)
 }
 
+// recordFailedCall records whether a failed poll shows, with the deleted entry,
+// that the worker has exited. A process that refuses the poll runs.
+func (w *worker) recordFailedCall(in PolledMsg) {
+	var refused *RefusedError
+	if errors.As(in.err, &refused) {
+		w.leftAt = time.Time{}
+		return
+	}
+	w.departed = w.departed || !w.leftAt.IsZero() && in.sentAt.After(w.leftAt)
+}
+
 // handlePollError handles a failed poll, after which the worker gets no starts
 // until its next report. Only the first of several failures is logged.
 func (m *Scheduler) handlePollError(now time.Time, w *worker, err error) {
