--- a/scheduler/exit_evidence_test.go
+++ b/scheduler/exit_evidence_test.go
@@ -78,3 +78,17 @@
 	}
 	r.noSecondRun()
 }
+
+// Guards against the exit of a worker's former life that counts for its next life.
+func TestExitOfFormerLifeSaysNothingOfNextLife(t *testing.T) {
+	r := newDrainedRun(t)
+	r.advance(500 * time.Millisecond)
+	r.feed(deletion(r.id))
+	r.advance(2 * pollDelay)
+	r.answerPollWith(r.id, NewReport(20, 2, r.running, nil)) // life 2 executed a later copy of the start
+	for range 3 {
+		r.advance(300 * time.Millisecond)
+		r.answerPollIfOpen(errCut)
+	}
+	r.noSecondRun()
+}
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -291,6 +291,7 @@
 	w.unackedEnds, w.lastEnded, w.acked, w.firstListed = nil, 0, 0, 0
 	w.clockReadAt, w.contacted, w.reported, w.failures = time.Time{}, false, false, nil
 	w.missedCalls, w.unresponsive, w.cooldownUntil = 0, false, time.Time{}
+	w.leftAt, w.departed = time.Time{}, false
 }
 
 // keepUnreported keeps a run whose start was sent to an earlier incarnation of
