--- a/scheduler/exit_evidence_test.go
+++ b/scheduler/exit_evidence_test.go
@@ -92,3 +92,20 @@
 	}
 	r.noSecondRun()
 }
+
+// Guards against an exit that ends a run whose start may still reach the worker's next life.
+func TestExitDoesNotEndRunWithUnansweredCopy(t *testing.T) {
+	d := newDriverWithJob(t, []order.WorkerID{"w1", "w2"}, smallStep(1))
+	s, ok := d.takeStart()
+	d.is.True(ok)
+	r := drainedRun{driver: d, start: s, id: s.order.to.worker}
+	r.list(true)
+	r.answerStart(s, errCut)
+	r.advance(300 * time.Millisecond)
+	r.feed(deletion(r.id))
+	for range 4 {
+		r.answerPollIfOpen(errCut)
+		r.advance(300 * time.Millisecond)
+	}
+	r.noSecondRun()
+}
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -336,6 +336,10 @@
 	return a.uncertainAt.IsZero() || m.confirmedSince(a.uncertainAt.Add(maxLeaseTime(m.limits.maxLease)))
 }
 
+// onlyInThisLife reports whether no later life of the worker can have the run: no
+// copy of its start may still be executed.
+func (a *attempt) onlyInThisLife() bool { return !a.startOpen && a.uncertainAt.IsZero() }
+
 // anyLapsed reports whether any run of a worker with a lapsed lease has ended
 // with it.
 func (m *Scheduler) anyLapsed(w *worker) bool {
@@ -488,7 +492,7 @@
 	}
 	w.missedCalls, w.connRefused, w.unresponsive = 0, false, false
 	w.contacted, w.reportedAt = true, now
-	w.leftAt = time.Time{}
+	w.leftAt, w.departed = time.Time{}, false
 	w.reported = w.reported || !in.report.moreEnds
 	if !w.persisted() {
 		m.journal.workersDirty = true
@@ -654,8 +658,10 @@
 	for _, w := range m.sortedWorkers() {
 		if w.departed {
 			m.logEndedRuns(now, w, "yard: worker left")
-			m.dropAttempts(now, w, "worker left", func(*attempt) bool { return true })
-			w.leaseEnd = time.Time{}
+			m.dropAttempts(now, w, "worker left", (*attempt).onlyInThisLife)
+			if len(w.attempts) == 0 {
+				w.leaseEnd = time.Time{}
+			}
 		}
 		idle := !w.listed && len(w.attempts) == 0
 		if !m.lapsed(w) || (w.contacted && w.missedCalls == 0 && !idle) {
