--- a/scheduler/exit_evidence_test.go
+++ b/scheduler/exit_evidence_test.go
@@ -109,3 +109,18 @@
 	}
 	r.noSecondRun()
 }
+
+// Guards against a deletion that is judged before the owner knows how long its machine was suspended.
+func TestDeletionFirstAfterSuspensionIsNoExit(t *testing.T) {
+	r := newDrainedRun(t)
+	r.advance(500 * time.Millisecond)
+	r.now = r.now.Add(feedInterval)
+	r.m.Handle(r.now, deletion(r.id)) // the order of the inputs in Runner.Run
+	r.m.Handle(r.now, SuspendedMsg{total: 5 * time.Second})
+	r.decide()
+	for range 4 {
+		r.answerPollIfOpen(errCut)
+		r.advance(300 * time.Millisecond)
+	}
+	r.noSecondRun()
+}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -408,6 +408,7 @@
 // Decide makes the decisions that follow from the inputs so far and from the
 // time, and returns the commands to execute in order.
 func (m *Scheduler) Decide(now time.Time) []Command {
+	m.markLeft(now)
 	m.expireRuns(now)
 	m.requeueEndedRuns(now)
 	m.answerUnknown(now)
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -25,12 +25,14 @@
 		discovered bool
 
 		// changedAfter is a time after which the entry was last written, and
-		// changedSuspended how long the machine had been suspended then. leftAt
+		// changedSuspended how long the machine had been suspended then.
+		// deletedAt is when its deletion was read, until that is judged. leftAt
 		// is when this owner saw that the worker itself had removed its entry,
 		// and zero if it has not. departed reports whether a call that was sent
 		// later has failed.
 		changedAfter     time.Time
 		changedSuspended time.Duration
+		deletedAt        time.Time
 		leftAt           time.Time
 		departed         bool
 
@@ -167,7 +169,9 @@
 		}
 	}
 	for _, id := range in.deleted {
-		m.markLeft(now, id)
+		if w := m.workers[id]; w != nil {
+			w.deletedAt = now
+		}
 	}
 	for _, id := range in.removed {
 		m.markUnlisted(now, id)
@@ -211,7 +215,7 @@
 		m.journal.workersDirty = true
 	}
 	w.info, w.listed, w.discovered, w.draining = info, true, true, info.draining
-	w.infoStale, w.leftAt, w.departed = false, time.Time{}, false
+	w.infoStale, w.deletedAt, w.leftAt, w.departed = false, time.Time{}, time.Time{}, false
 	w.rack = rackOf(info.labels)
 	w.updateFree()
 	if w.draining {
@@ -230,19 +234,27 @@
 	return ""
 }
 
-// markLeft handles a deleted entry. A draining worker whose entry goes sooner
-// than the discovery removes that of a silent one has removed it itself, as it
-// does at its exit. Entries may also go while the store is down.
-func (m *Scheduler) markLeft(now time.Time, id order.WorkerID) {
-	w := m.workers[id]
-	if w == nil || !w.draining || w.changedAfter.IsZero() {
-		return
+// markLeft judges the deleted entries, once it is known for how long the machine
+// has been suspended.
+func (m *Scheduler) markLeft(now time.Time) {
+	for _, w := range m.workers {
+		if !w.deletedAt.IsZero() && m.removedByWorker(now, w) {
+			w.leftAt = now
+		}
+		w.deletedAt = time.Time{}
+	}
+}
+
+// removedByWorker reports whether the worker has removed its entry itself, as it
+// does at its exit: it was draining, and the entry went sooner than the discovery
+// removes that of a silent worker. Entries may also go while the store is down.
+func (m *Scheduler) removedByWorker(now time.Time, w *worker) bool {
+	if !w.draining || w.changedAfter.IsZero() {
+		return false
 	}
 	age := now.Sub(w.changedAfter) + m.suspended - w.changedSuspended
 	// The margin allows for a change that the store reported late.
-	if age < m.limits.workerSilence*2/3 && m.storeSteady(now, w.changedAfter) {
-		w.leftAt = now
-	}
+	return age < m.limits.workerSilence*2/3 && m.storeSteady(now, w.changedAfter)
 }
 
 // markUnlisted handles a worker that the discovery no longer lists. It is
@@ -291,7 +303,7 @@
 	w.unackedEnds, w.lastEnded, w.acked, w.firstListed = nil, 0, 0, 0
 	w.clockReadAt, w.contacted, w.reported, w.failures = time.Time{}, false, false, nil
 	w.missedCalls, w.unresponsive, w.cooldownUntil = 0, false, time.Time{}
-	w.leftAt, w.departed = time.Time{}, false
+	w.deletedAt, w.leftAt, w.departed = time.Time{}, time.Time{}, false
 }
 
 // keepUnreported keeps a run whose start was sent to an earlier incarnation of
@@ -492,7 +504,7 @@
 	}
 	w.missedCalls, w.connRefused, w.unresponsive = 0, false, false
 	w.contacted, w.reportedAt = true, now
-	w.leftAt, w.departed = time.Time{}, false
+	w.deletedAt, w.leftAt, w.departed = time.Time{}, time.Time{}, false
 	w.reported = w.reported || !in.report.moreEnds
 	if !w.persisted() {
 		m.journal.workersDirty = true
