--- a/scheduler/exit_evidence_test.go
+++ b/scheduler/exit_evidence_test.go
@@ -124,3 +124,17 @@
 	}
 	r.noSecondRun()
 }
+
+// Guards against a store that was down while the owner's machine was suspended and counts as steady.
+func TestSuspensionCountsAsGapOfConfirmations(t *testing.T) {
+	r := newDrainedRun(t)
+	r.advance(500 * time.Millisecond)
+	r.m.Handle(r.now, SuspendedMsg{total: 1500 * time.Millisecond})
+	r.advance(20 * time.Millisecond) // the store confirms the ownership
+	r.feed(deletion(r.id))
+	for range 4 {
+		r.answerPollIfOpen(errCut)
+		r.advance(300 * time.Millisecond)
+	}
+	r.noSecondRun()
+}
--- a/scheduler/ownership.go
+++ b/scheduler/ownership.go
@@ -33,7 +33,7 @@
 // confirm records that no other process had owned the cell at the given time.
 func (m *Scheduler) confirm(at time.Time, suspended time.Duration) {
 	if at.After(m.confirmedAt) {
-		if at.Sub(m.confirmedAt) > maxConfirmGap {
+		if at.Sub(m.confirmedAt)+suspended-m.confirmedSuspended > maxConfirmGap {
 			m.steadySince = at
 		}
 		m.confirmedAt, m.confirmedSuspended = at, suspended
