--- a/scheduler/exit_evidence_test.go
+++ b/scheduler/exit_evidence_test.go
@@ -138,3 +138,17 @@
 	}
 	r.noSecondRun()
 }
+
+// Guards against a deletion of another writer's entry that counts as the worker's own.
+func TestDeletionOfOverwrittenEntryIsNoExit(t *testing.T) {
+	r := newDrainedRun(t)
+	r.advance(500 * time.Millisecond)
+	r.feed(NewWorkersMsg(nil, []order.WorkerID{r.id}, false))
+	r.advance(200 * time.Millisecond)
+	r.feed(deletion(r.id))
+	for range 4 {
+		r.answerPollIfOpen(errCut)
+		r.advance(300 * time.Millisecond)
+	}
+	r.noSecondRun()
+}
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -174,6 +174,10 @@
 		}
 	}
 	for _, id := range in.removed {
+		if w := m.workers[id]; w != nil && !slices.Contains(in.deleted, id) {
+			// The entry is another writer's now, and so may be its deletion.
+			w.changedAfter = time.Time{}
+		}
 		m.markUnlisted(now, id)
 	}
 	// The capacities bound what may run on the workers without a report.
