--- a/scheduler/exit_evidence_test.go
+++ b/scheduler/exit_evidence_test.go
@@ -152,3 +152,29 @@
 	}
 	r.noSecondRun()
 }
+
+// Guards against a poll that was sent before the deletion of the entry, fails after it and counts as a sign of the exit.
+func TestPollFromBeforeTheDeletionIsNoSignOfExit(t *testing.T) {
+	r := newDrainedRun(t)
+	r.advance(500 * time.Millisecond)
+	p, ok := r.takePollOf(r.id)
+	r.is.True(ok)
+	sentAt := r.now
+	r.feed(deletion(r.id))
+	r.feed(PolledMsg{order: p.order, sentAt: sentAt, err: errCut})
+	r.advance(200 * time.Millisecond)
+	r.noSecondRun()
+}
+
+// Guards against a deletion that still counts once the worker is listed again.
+func TestWorkerListedAgainHasNotLeft(t *testing.T) {
+	r := newDrainedRun(t)
+	r.advance(500 * time.Millisecond)
+	r.feed(deletion(r.id))
+	r.list(true)
+	for range 4 {
+		r.answerPollIfOpen(errCut)
+		r.advance(300 * time.Millisecond)
+	}
+	r.noSecondRun()
+}
