--- a/election/elector.go
+++ b/election/elector.go
@@ -356,15 +356,15 @@
 	if !isOwner {
 		return
 	}
-	limited, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
 	recorded := record.Member() == e.self && record.Epoch() == settled
 	if recorded {
-		if err := e.recordRelease(limited, record, version); err != nil {
+		if err := e.recordRelease(ctx, record, version); err != nil {
 			e.log.Warn().Err(err).Msg("helm: release not recorded")
 			recorded = false
 		}
 	}
+	limited, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
 	if err := e.store.Revoke(limited, lease); err != nil {
 		e.log.Warn().Err(err).Msg("helm: lease not revoked, it will expire")
 	}
@@ -378,7 +378,9 @@
 	if err != nil {
 		return fmt.Errorf("encode ownership record: %w", err)
 	}
-	if _, err := e.store.Commit(ctx, storage.Batch{}.Expect(ownerKey, version).Put(ownerKey, value, 0)); err != nil {
+	limited, cancel := context.WithTimeout(ctx, shortCallTimeout)
+	defer cancel()
+	if _, err := e.store.Commit(limited, storage.Batch{}.Expect(ownerKey, version).Put(ownerKey, value, 0)); err != nil {
 		return fmt.Errorf("write ownership record: %w", err)
 	}
 	return nil
--- /dev/null
+++ b/election/release_test.go
@@ -0,0 +1,44 @@
+package election
+
+import (
+	"context"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"chervilhollow/storage"
+	"chervilhollow/timers"
+)
+
+// mutedStore answers no batch once muted.
+type mutedStore struct {
+	storage.Batcher
+	muted   bool
+	revoked error
+}
+
+func (s *mutedStore) Commit(ctx context.Context, b storage.Batch) (storage.Version, error) {
+	if !s.muted {
+		return s.Batcher.Commit(ctx, b)
+	}
+	<-ctx.Done()
+	return 0, ctx.Err()
+}
+
+func (s *mutedStore) Revoke(ctx context.Context, id storage.LeaseID) error {
+	s.revoked = ctx.Err()
+	return s.Batcher.Revoke(ctx, id)
+}
+
+// Guards against a release that has no time left for the lease, as the write of the record had no response.
+func TestReleaseRevokesLeaseAfterUnansweredRecord(t *testing.T) {
+	is := is.New(t)
+	store := &mutedStore{Batcher: storage.NewMemory(timers.New())}
+	a := newElector("10.0.0.1:7000/a", store)
+	stop := run(a)
+	epoch := waitAcquired(t, a).Epoch()
+	stop()
+	store.muted = true
+	a.Release(context.Background(), epoch)
+	is.NoErr(store.revoked)
+}
