--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -673,11 +673,7 @@
 func (m *Scheduler) expireRuns(now time.Time) {
 	for _, w := range m.sortedWorkers() {
 		if w.departed {
-			m.logEndedRuns(now, w, "yard: worker left")
-			m.dropAttempts(now, w, "worker left", (*attempt).onlyInThisLife)
-			if len(w.attempts) == 0 {
-				w.leaseEnd = time.Time{}
-			}
+			m.endDeparted(now, w)
 		}
 		idle := !w.listed && len(w.attempts) == 0
 		if !m.lapsed(w) || (w.contacted && w.missedCalls == 0 && !idle) {
@@ -702,6 +698,16 @@
 	}
 }
 
+// endDeparted ends the runs of a worker that has exited, except for those that
+// its next life may have.
+func (m *Scheduler) endDeparted(now time.Time, w *worker) {
+	m.logEndedRuns(now, w, "yard: worker left")
+	m.dropAttempts(now, w, "worker left", (*attempt).onlyInThisLife)
+	if len(w.attempts) == 0 {
+		w.leaseEnd = time.Time{}
+	}
+}
+
 // logEndedRuns logs that the runs of a worker, or those that earlier owners may
 // have started there, count as ended although it did not list their ends. The
 // line has what is known of the worker.
