--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -356,11 +356,10 @@
 // copy of its start may still be executed.
 func (a *attempt) onlyInThisLife() bool { return !a.startOpen && a.uncertainAt.IsZero() }
 
-// anyLapsed reports whether any run of a worker with a lapsed lease has ended
-// with it.
-func (m *Scheduler) anyLapsed(w *worker) bool {
+// anyRun reports whether the function is true for any run of the worker.
+func (w *worker) anyRun(is func(*attempt) bool) bool {
 	for _, a := range w.attempts {
-		if m.runLapsed(a) {
+		if is(a) {
 			return true
 		}
 	}
@@ -679,7 +678,7 @@
 		if !m.lapsed(w) || (w.contacted && w.missedCalls == 0 && !idle) {
 			continue
 		}
-		if m.anyLapsed(w) {
+		if w.anyRun(m.runLapsed) {
 			m.registry.Count("yard.workers.lapsed")
 			m.logEndedRuns(now, w, "yard: leases lapsed")
 			m.dropAttempts(now, w, "lease lapsed", m.runLapsed)
@@ -701,8 +700,10 @@
 // endDeparted ends the runs of a worker that has exited, except for those that
 // its next life may have.
 func (m *Scheduler) endDeparted(now time.Time, w *worker) {
-	m.logEndedRuns(now, w, "yard: worker left")
-	m.dropAttempts(now, w, "worker left", (*attempt).onlyInThisLife)
+	if len(w.attempts) == 0 || w.anyRun((*attempt).onlyInThisLife) {
+		m.logEndedRuns(now, w, "yard: worker left")
+		m.dropAttempts(now, w, "worker left", (*attempt).onlyInThisLife)
+	}
 	if len(w.attempts) == 0 {
 		w.leaseEnd = time.Time{}
 	}
