--- a/election/elector.go
+++ b/election/elector.go
@@ -735,13 +735,16 @@
 }
 
 // replaceLease grants a new lease and writes it if the ownership record is
-// unchanged.
+// unchanged. It does nothing if this process has released the cell.
 func (e *Elector) replaceLease(ctx context.Context) error {
 	limited, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	e.mu.Lock()
-	version := e.version
+	isOwner, version := e.isOwner, e.version
 	e.mu.Unlock()
+	if !isOwner {
+		return nil
+	}
 	lease, err := e.store.Grant(limited, leaseTTL)
 	if err != nil {
 		return fmt.Errorf("grant lease: %w", err)
--- a/election/release_test.go
+++ b/election/release_test.go
@@ -30,6 +30,21 @@
 	return s.Batcher.Revoke(ctx, id)
 }
 
+// Guards against a renewal under way that brings the lease of a released cell back, so that the next owner has to wait for its end.
+func TestRenewalDoesNotReplaceLeaseOfReleasedCell(t *testing.T) {
+	is := is.New(t)
+	store := storage.NewMemory(timers.New())
+	a := newElector("10.0.0.1:7000/a", store)
+	stop := run(a)
+	waitAcquired(t, a)
+	stop()
+	a.Release(context.Background(), 0)
+	a.renew(context.Background()) // it had read the lease before the release
+	lease, err := store.Get(context.Background(), leaseKey)
+	is.NoErr(err)
+	is.True(!lease.Exists())
+}
+
 // Guards against a release that has no time left for the lease, as the write of the record had no response.
 func TestReleaseRevokesLeaseAfterUnansweredRecord(t *testing.T) {
 	is := is.New(t)
