--- a/soak/fault_test.go
+++ b/soak/fault_test.go
@@ -287,13 +287,14 @@
 }
 
 // refuseAtWorker cuts a worker off from the store and from all hosts for longer
-// than its entry lasts, while connections to it are refused.
+// than its entry lasts, while connections to it are refused. Some cuts end before
+// its lease.
 func (s *soak) refuseAtWorker() (func() error, error) {
 	i, release := s.acquireWorker()
 	if i < 0 {
 		return noCleanup, nil
 	}
-	length := time.Duration(5500+s.intN(4000)) * time.Millisecond
+	length := time.Duration(4600+s.intN(4000)) * time.Millisecond
 	s.cluster.workers[i].CutOff(length)
 	s.cluster.workerProxies[i].closeListener()
 	s.runAfter(length, func() {
