--- a/scheduler/release_test.go
+++ b/scheduler/release_test.go
@@ -73,3 +73,15 @@
 	d.restoreWorkers(workers)
 	return d
 }
+
+// Guards against a release that promises settled leases while workers that the stored list may lack hold longer ones.
+func TestNotSettledWithoutListOfWorkers(t *testing.T) {
+	d := newSuccessorBeforeDiscovery(t, []order.JobStep{smallStep(1)}, nil)
+	d.m.RestoreWorkers(entries(WorkersKey, []byte("unreadable"))[0])
+	d.feed(NewWorkersMsg([]WorkerInfo{workerInfo("w1", 1)}, nil, true))
+	d.feed(NewPauseMsg(true))
+	d.answerPoll("w1", nil, nil)
+	d.is.True(!d.m.Settled(d.now))
+	d.advance(maxLeaseTime(d.m.limits.maxLease))
+	d.is.True(d.m.Settled(d.now))
+}
