--- a/scheduler/evidence_test.go
+++ b/scheduler/evidence_test.go
@@ -123,3 +123,20 @@
 	d.advance(100 * time.Millisecond)
 	d.is.Equal(d.startedOf(testJob), 1)
 }
+
+// Guards against a run that a report lists and that still counts with the longest lease.
+func TestReportedRunCountsWithItsLease(t *testing.T) {
+	d := newDriverWithJob(t, []order.WorkerID{"w1", "w2"}, smallStep(1))
+	s, ok := d.takeStart()
+	d.is.True(ok)
+	d.answerStart(s, errCut)
+	id := s.order.to.worker
+	d.advance(2 * pollDelay)
+	d.answerPoll(id, []RunningTask{NewRunningTask(s.order.task, s.order.run, "", 10)}, nil)
+	d.advance(2 * pollDelay)
+	leaseEnd := d.m.workers[id].leaseEnd
+	d.refuseUntil(id, errCut, leaseEnd)
+	d.is.Equal(d.startedOf(testJob), 0)
+	d.refuseUntil(id, errCut, leaseEnd.Add(300*time.Millisecond))
+	d.is.Equal(d.startedOf(testJob), 1)
+}
