--- a/election/elector.go
+++ b/election/elector.go
@@ -64,7 +64,8 @@
 		leaving       bool
 		noClaimBefore time.Time
 
-		// deadMember is a member whose process has exited.
+		// deadMember is the owner if its address has refused a connection
+		// during this ownership.
 		deadMember order.MemberID
 
 		// probes counts the successful reads in a row while the owner's last
@@ -255,7 +256,7 @@
 	newer := m.Epoch() > e.owner.Epoch()
 	if newer {
 		e.owner = order.OwnerRecord{}.WithMember(m.Member()).WithEpoch(m.Epoch())
-		e.lastHeartbeatAt, e.leaseHeld = e.clock.Now(), true
+		e.lastHeartbeatAt, e.leaseHeld, e.deadMember = e.clock.Now(), true, ""
 	}
 	e.mu.Unlock()
 	if !newer {
@@ -467,7 +468,7 @@
 		e.version = entry.Version()
 		if r.Epoch() >= e.owner.Epoch() {
 			if r.Epoch() > e.owner.Epoch() {
-				e.lastHeartbeatAt = time.Time{}
+				e.lastHeartbeatAt, e.deadMember = time.Time{}, ""
 			}
 			e.owner = r
 			e.log.Info().Str("owner", string(r.Member())).Uint64("epoch", uint64(r.Epoch())).
