--- a/scheduler/release_test.go
+++ b/scheduler/release_test.go
@@ -32,6 +32,7 @@
 		"refused": {func(d *driver, s StartCmd) { d.answerStart(s, NewRefusedError(RefusedBusy, 0)) }, true},
 		"open":    {func(*driver, StartCmd) {}, false},
 		"unclear": {func(d *driver, s StartCmd) { d.answerStart(s, errors.New("no response")) }, false},
+		"overtaken": {func(d *driver, s StartCmd) { d.feed(StartedMsg{order: s.order, clock: 40}) }, false},
 		"worker restarted": {func(d *driver, s StartCmd) {
 			d.answerStart(s, nil)
 			d.feed(NewWorkersMsg([]WorkerInfo{workerInfo(s.order.to.worker, 2)}, nil, false))
