--- a/scheduler/release_test.go
+++ b/scheduler/release_test.go
@@ -28,10 +28,10 @@
 		prepare func(d *driver, s StartCmd)
 		settled bool
 	}{
-		"started": {func(d *driver, s StartCmd) { d.answerStart(s, nil) }, true},
-		"refused": {func(d *driver, s StartCmd) { d.answerStart(s, NewRefusedError(RefusedBusy, 0)) }, true},
-		"open":    {func(*driver, StartCmd) {}, false},
-		"unclear": {func(d *driver, s StartCmd) { d.answerStart(s, errors.New("no response")) }, false},
+		"started":   {func(d *driver, s StartCmd) { d.answerStart(s, nil) }, true},
+		"refused":   {func(d *driver, s StartCmd) { d.answerStart(s, NewRefusedError(RefusedBusy, 0)) }, true},
+		"open":      {func(*driver, StartCmd) {}, false},
+		"unclear":   {func(d *driver, s StartCmd) { d.answerStart(s, errors.New("no response")) }, false},
 		"overtaken": {func(d *driver, s StartCmd) { d.feed(StartedMsg{order: s.order, clock: 40}) }, false},
 		"worker restarted": {func(d *driver, s StartCmd) {
 			d.answerStart(s, nil)
