--- a/scheduler/runner_test.go
+++ b/scheduler/runner_test.go
@@ -287,3 +287,26 @@
 	is.True(errors.Is(r.Run(ctx), ErrLost))
 	is.Equal(m.suspended, time.Hour)
 }
+
+// flakyStarts answers starts like an unresponsiveWorker.
+type flakyStarts struct {
+	unansweredStarts
+	starts unresponsiveWorker
+}
+
+func (w *flakyStarts) Start(ctx context.Context, _ StartOrder) (int64, error) {
+	return w.starts.send(ctx)
+}
+
+// Guards against a start that counts as executed once although an earlier copy had no response.
+func TestStartTellsOfUnansweredCopies(t *testing.T) {
+	is := is.New(t)
+	for unanswered := range 2 {
+		r := NewRunner(nil, timers.New(), nil, &flakyStarts{starts: unresponsiveWorker{unanswered: unanswered}}, nil, zerolog.Nop())
+		r.sendOrder(context.Background(), StartCmd{order: StartOrder{permit: &permit{}}})
+		in, ok := (<-r.inbox).(StartedMsg)
+		is.True(ok)
+		is.NoErr(in.err)
+		is.Equal(in.unanswered, unanswered > 0)
+	}
+}
