--- a/election/dead_member_test.go
+++ b/election/dead_member_test.go
@@ -22,6 +22,8 @@
 	beat(1)
 	is.True(!e.mayClaim())
 	e.MarkDead(owner)
+	e.HandleHeartbeat("10.0.0.3:7000/c", order.OwnerHeartbeatMsg{}.WithEpoch(1).WithStoreReachable(true))
+	is.True(e.mayClaim()) // that was another process
 	beat(1)
 	is.True(!e.mayClaim())
 	beat(3) // another process has owned the cell in between
