--- a/scheduler/explore_discovery_test.go
+++ b/scheduler/explore_discovery_test.go
@@ -19,6 +19,10 @@
 const (
 	modelHeartbeat = 1500 * time.Millisecond
 	modelSilence   = 3 * modelHeartbeat
+
+	// modelEntryDelay is how much later than the heartbeat a missing entry may
+	// be back, 2 s after the store's return at the latest.
+	modelEntryDelay = 500 * time.Millisecond
 )
 
 // register lets a life of a worker write its entry until it ends.
@@ -27,17 +31,14 @@
 	var beat func()
 	beat = func() {
 		same := m.life == life
-		if same && m.up && d.world.store.up && !d.world.network.workerStoreCut[m.zone] {
+		if same && m.up && d.reachedBy(m) {
 			seenAt = d.world.now
-			if e, ok := d.entries[m.id]; !ok || e.incarnation != life || e.draining != m.draining {
-				d.set(m)
-			}
+			d.heartbeat(m, life)
 		}
 		e, ok := d.entries[m.id]
 		if ok && e.incarnation == life && d.world.now.Sub(seenAt) >= modelSilence {
 			d.world.trace("entry of %s lapses", m.id)
-			delete(d.entries, m.id)
-			d.changes++
+			d.drop(m.id)
 		}
 		if same || ok && e.incarnation == life {
 			d.world.after(modelHeartbeat, beat)
@@ -46,6 +47,22 @@
 	d.world.after(d.world.upTo(500*time.Millisecond), beat)
 }
 
+// heartbeat writes the entry of the worker's present life if it has changed or is
+// missing.
+func (d *modelDiscovery) heartbeat(m *modelWorker, life int64) {
+	e, ok := d.entries[m.id]
+	switch {
+	case !ok && d.world.isolated:
+		d.world.after(d.world.upTo(modelEntryDelay), func() {
+			if m.life == life && m.up {
+				d.refresh(m)
+			}
+		})
+	case !ok || e.incarnation != life || e.draining != m.draining:
+		d.set(m)
+	}
+}
+
 func (d *modelDiscovery) set(m *modelWorker) {
 	d.world.trace("entry of %s: life %d at %s", m.id, m.life, m.address)
 	info := workerInfo(m.id, m.life)
@@ -58,18 +75,27 @@
 	d.changes++
 }
 
+func (d *modelDiscovery) drop(id order.WorkerID) {
+	delete(d.entries, id)
+	d.changes++
+}
+
+// reachedBy reports whether the entry follows what the worker writes.
+func (d *modelDiscovery) reachedBy(m *modelWorker) bool {
+	return d.world.store.up && !d.world.network.workerStoreCut[m.zone] && !d.world.isolation.hides(m.id)
+}
+
 // refresh writes the entry of a worker that reaches the store.
 func (d *modelDiscovery) refresh(m *modelWorker) {
-	if d.world.store.up && !d.world.network.workerStoreCut[m.zone] {
+	if d.reachedBy(m) {
 		d.set(m)
 	}
 }
 
 // remove removes the entry of a worker that has left, if it reaches the store.
 func (d *modelDiscovery) remove(m *modelWorker) {
-	if _, ok := d.entries[m.id]; ok && d.world.store.up && !d.world.network.workerStoreCut[m.zone] {
-		delete(d.entries, m.id)
-		d.changes++
+	if _, ok := d.entries[m.id]; ok && d.reachedBy(m) {
+		d.drop(m.id)
 	}
 }
 
--- a/scheduler/explore_network_test.go
+++ b/scheduler/explore_network_test.go
@@ -208,7 +208,11 @@
 			m.draining = true
 			w.trace("worker %s drains", m.id)
 			w.discovery.refresh(m)
-			w.after(2*time.Second+w.upTo(4*time.Second), func() { m.leave() })
+			length := 2*time.Second + w.upTo(4*time.Second)
+			if w.isolated && w.chance(40) {
+				length += w.upTo(10 * time.Second)
+			}
+			w.after(length, func() { m.leave() })
 		}
 		w.after(2*time.Second+w.upTo(12*time.Second), next)
 	}
@@ -227,6 +231,13 @@
 		}
 		return
 	}
+	if w.isolated {
+		if w.isolation.refuses(o.zone, to.worker) {
+			c.refuse()
+			return
+		}
+		w.isolation.watch(c)
+	}
 	delay := time.Millisecond + w.upTo(7*time.Millisecond)
 	if n.lossy {
 		switch p := w.rand.IntN(100); {
--- a/scheduler/explore_owner_test.go
+++ b/scheduler/explore_owner_test.go
@@ -23,6 +23,7 @@
 		record        storage.Entry
 		dead          bool
 		frozenUntil   time.Time
+		processLost   bool
 		decideDue     bool
 		listedChanges int
 
@@ -62,7 +63,7 @@
 // process returns the present ownership of the owner's process, which gets the
 // replies to requests of an earlier one.
 func (o *modelOwner) process() *modelOwner {
-	if latest := o.world.owners[len(o.world.owners)-1]; latest.zone == o.zone {
+	if latest := o.world.owners[len(o.world.owners)-1]; latest.zone == o.zone && !o.processLost {
 		return latest
 	}
 	return o
--- a/scheduler/explore_worker_test.go
+++ b/scheduler/explore_worker_test.go
@@ -109,6 +109,10 @@
 	m.crash()
 	m.gone = true
 	w.discovery.remove(m)
+	if w.isolated && w.chance(30) {
+		w.isolation.reuseAddress(m)
+		return
+	}
 	next := newModelWorker(w, len(w.workers))
 	next.place = m.place
 	w.workers = append(w.workers, next)
--- a/scheduler/explore_world_test.go
+++ b/scheduler/explore_world_test.go
@@ -32,6 +32,7 @@
 		network   modelNetwork
 		clients   modelClients
 		discovery modelDiscovery
+		isolation modelIsolation
 		operator  modelOperator
 		advice    modelAdvice
 		gangs     modelGangs
@@ -43,6 +44,10 @@
 		// extended worlds also have gangs, advice, teams, lasting jobs, drains,
 		// unhealthy workers and an operator.
 		extended bool
+
+		// isolated worlds are extended. In them live workers may also refuse
+		// connections or lack an entry, and hosts return.
+		isolated bool
 	}
 
 	event struct {
@@ -70,6 +75,9 @@
 	// exploreExtended is the first seed of an extended world. The worlds of the
 	// seeds before it stay as they were when these failed.
 	exploreExtended = 1_000_000
+
+	// exploreIsolated is the first seed of an isolated world.
+	exploreIsolated = 3_000_000
 )
 
 func (h eventHeap) Len() int { return len(h) }
@@ -91,12 +99,14 @@
 
 // explore plays one seed.
 func explore(seed uint64, traced bool) *world {
-	w := &world{rand: rand.New(rand.NewPCG(seed, 28)), now: testStart, traced: traced, extended: seed >= exploreExtended}
+	w := &world{rand: rand.New(rand.NewPCG(seed, 28)), now: testStart, traced: traced}
+	w.extended, w.isolated = seed >= exploreExtended, seed >= exploreIsolated
 	w.checks = newChecks(w)
 	w.store = modelStore{world: w, entries: make(map[string]storage.Entry), version: 10, up: true}
 	w.network = newNetwork(w)
 	w.clients = newClients(w)
 	w.discovery = modelDiscovery{world: w, entries: make(map[order.WorkerID]WorkerInfo)}
+	w.isolation = newIsolation(w)
 	w.operator = newOperator(w)
 	w.advice = modelAdvice{world: w, tickets: make(map[string]modelTicket)}
 	w.gangs = modelGangs{world: w, runs: make(map[gangRun][]*modelRun)}
@@ -109,6 +119,7 @@
 	w.clients.run()
 	w.operator.run()
 	w.replaceWorkers()
+	w.isolation.run()
 	w.superviseOwners()
 	w.play()
 	w.checks.finish()
