--- a/scheduler/explore_owner_test.go
+++ b/scheduler/explore_owner_test.go
@@ -161,6 +161,10 @@
 	}
 	// Scheduler stops the runs of a worker in the order of a map.
 	slices.SortStableFunc(commands, func(a, b Command) int { return cmp.Compare(commandKey(a), commandKey(b)) })
+	if o.world.isolated {
+		// It answers the calls of several batches in the order of a map as well.
+		slices.SortStableFunc(commands, func(a, b Command) int { return cmp.Compare(replyKey(a), replyKey(b)) })
+	}
 	for _, c := range commands {
 		o.execute(c)
 	}
@@ -174,6 +178,16 @@
 	return ""
 }
 
+// replyKey orders the replies of a round after all other commands.
+func replyKey(c Command) uint64 {
+	if s, ok := c.(SendCmd); ok {
+		if m, ok := s.msg.(order.JobReplyMsg); ok {
+			return m.Call()
+		}
+	}
+	return 0
+}
+
 func (o *modelOwner) execute(c Command) {
 	switch c := c.(type) {
 	case StartCmd:
