--- a/scheduler/explore_isolation_test.go
+++ b/scheduler/explore_isolation_test.go
@@ -36,6 +36,9 @@
 // modelAddressReuse is addrReuseS of the settings.
 const modelAddressReuse = 2 * time.Second
 
+// modelSettle is how long a release waits for the leases to be settled.
+const modelSettle = 300 * time.Millisecond
+
 func newIsolation(w *world) modelIsolation {
 	return modelIsolation{
 		world: w, refusals: make(map[modelPair]modelRefusal),
@@ -84,7 +87,12 @@
 	case 7:
 		w.owners[len(w.owners)-1].returnAfter("power lost", true, w.upTo(3500*time.Millisecond))
 	case 8:
-		w.owners[len(w.owners)-1].returnAfter("steps down", false, w.upTo(300*time.Millisecond))
+		o := w.owners[len(w.owners)-1]
+		if w.chance(50) {
+			o.returnAfter("steps down", false, w.upTo(300*time.Millisecond))
+			return
+		}
+		o.release(w.now.Add(modelSettle))
 	case 9:
 		i.race()
 	}
@@ -195,6 +203,7 @@
 	i.unreadable[m.id] = until
 	w.trace("entry of %s overwritten until %.3f", m.id, until.Sub(testStart).Seconds())
 	w.discovery.drop(m.id)
+	w.discovery.change(m.id, true)
 }
 
 // stopStore takes the store down for long enough for all entries to lapse.
@@ -242,6 +251,28 @@
 	})
 }
 
+// release pauses the owner until its leases are settled or the time has come, and
+// ends it. Another host claims then.
+func (o *modelOwner) release(until time.Time) {
+	w := o.world
+	if o.dead || o.Scheduler == nil || o.frozen(w.now) {
+		return
+	}
+	o.Handle(w.now, NewPauseMsg(true))
+	if !o.Settled(w.now) && w.now.Before(until) {
+		w.after(5*time.Millisecond, func() { o.release(until) })
+		return
+	}
+	o.released = o.Settled(w.now) && w.store.reached(o.zone)
+	o.kill(fmt.Sprintf("releases the cell, settled %v", o.released))
+	zone := w.rand.IntN(exploreZones)
+	w.after(w.upTo(300*time.Millisecond), func() {
+		if w.store.reached(zone) {
+			w.claim(zone)
+		}
+	})
+}
+
 // race lets two hosts claim the cell within some milliseconds, although the owner
 // reaches the store and the workers.
 func (i *modelIsolation) race() {
--- a/scheduler/explore_owner_test.go
+++ b/scheduler/explore_owner_test.go
@@ -24,6 +24,8 @@
 		dead          bool
 		frozenUntil   time.Time
 		processLost   bool
+		released      bool
+		watch         modelWatch
 		decideDue     bool
 		listedChanges int
 
@@ -41,6 +43,7 @@
 		claimedAt = w.now
 	}
 	o := &modelOwner{world: w, number: epoch, zone: zone, record: w.store.put(ownerKey, []byte{byte(epoch)}), queues: make(map[order.WorkerID]*orderQueue)}
+	released := epoch > 1 && w.owners[epoch-2].released
 	w.trace("owner %d claims in zone %d", epoch, zone)
 	w.owners = append(w.owners, o)
 	w.after(time.Millisecond+w.upTo(100*time.Millisecond), func() {
@@ -49,7 +52,14 @@
 		}
 		registry := gauge.New(zerolog.Nop())
 		registry.SetStrict(false)
-		o.Scheduler = New(testMember, epoch, o.record, NewLimits(modelMaxHold, time.Hour).WithWriteRate(400), w.now, registry, w.log())
+		limits := NewLimits(modelMaxHold, time.Hour).WithWriteRate(400)
+		if w.isolated {
+			limits = limits.WithWorkerSilence(modelSilence)
+		}
+		o.Scheduler = New(testMember, epoch, o.record, limits, w.now, registry, w.log())
+		if released {
+			o.PredecessorReleased()
+		}
 		o.Handle(w.now, NewConfirmedMsg(epoch, claimedAt, 0))
 		o.Restore(w.store.jobs())
 		o.RestoreWorkers(w.store.entries[WorkersKey])
--- a/scheduler/explore_world_test.go
+++ b/scheduler/explore_world_test.go
@@ -107,6 +107,9 @@
 	w.clients = newClients(w)
 	w.discovery = modelDiscovery{world: w, entries: make(map[order.WorkerID]WorkerInfo)}
 	w.isolation = newIsolation(w)
+	if w.isolated {
+		w.discovery.states, w.discovery.heartbeats = make(map[order.WorkerID]modelEntryState), w.chance(50)
+	}
 	w.operator = newOperator(w)
 	w.advice = modelAdvice{world: w, tickets: make(map[string]modelTicket)}
 	w.gangs = modelGangs{world: w, runs: make(map[gangRun][]*modelRun)}
