--- a/scheduler/explore_discovery_test.go
+++ b/scheduler/explore_discovery_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"chervilhollow/order"
+	"chervilhollow/timers"
 )
 
 type (
@@ -55,6 +56,7 @@
 // register lets a life of a worker write its entry until it ends.
 func (d *modelDiscovery) register(m *modelWorker) {
 	life, seenAt := m.life, d.world.now
+	m.entryWrittenAt = seenAt
 	var beat func()
 	beat = func() {
 		same := m.life == life
@@ -63,6 +65,10 @@
 			d.heartbeat(m, life)
 		}
 		e, ok := d.entries[m.id]
+		if d.world.isolated {
+			// The report that a worker drains ends its silence as well.
+			seenAt = timers.Later(seenAt, m.entryWrittenAt)
+		}
 		if ok && e.incarnation == life && d.world.now.Sub(seenAt) >= modelSilence {
 			d.world.trace("entry of %s lapses", m.id)
 			d.drop(m.id)
@@ -101,6 +107,7 @@
 		m.drainListedAt = d.world.now
 	}
 	d.entries[m.id] = info
+	m.entryWrittenAt = d.world.now
 	d.change(m.id, true)
 }
 
--- a/scheduler/explore_isolation_test.go
+++ b/scheduler/explore_isolation_test.go
@@ -255,7 +255,11 @@
 // ends it. Another host claims then.
 func (o *modelOwner) release(until time.Time) {
 	w := o.world
-	if o.dead || o.Scheduler == nil || o.frozen(w.now) {
+	if o.dead || o.Scheduler == nil {
+		return
+	}
+	if o.frozen(w.now) {
+		w.after(o.frozenUntil.Sub(w.now), func() { o.release(until) })
 		return
 	}
 	o.Handle(w.now, NewPauseMsg(true))
--- a/scheduler/explore_worker_test.go
+++ b/scheduler/explore_worker_test.go
@@ -37,6 +37,10 @@
 		draining      bool
 		drainListedAt time.Time
 		gone          bool
+
+		// entryWrittenAt is when the worker last wrote its entry, but for
+		// heartbeats.
+		entryWrittenAt time.Time
 	}
 
 	modelRun struct {
