--- a/scheduler/explore_owner_test.go
+++ b/scheduler/explore_owner_test.go
@@ -50,6 +50,11 @@
 		if o.dead {
 			return
 		}
+		if w.isolated && w.store.entries[ownerKey].Version() != o.record.Version() {
+			// It reads the record after the state.
+			o.kill("another claim before its state was read")
+			return
+		}
 		registry := gauge.New(zerolog.Nop())
 		registry.SetStrict(false)
 		limits := NewLimits(modelMaxHold, time.Hour).WithWriteRate(400)
@@ -60,7 +65,11 @@
 		if released {
 			o.PredecessorReleased()
 		}
-		o.Handle(w.now, NewConfirmedMsg(epoch, claimedAt, 0))
+		confirmedAt := claimedAt
+		if w.isolated {
+			confirmedAt = w.now
+		}
+		o.Handle(w.now, NewConfirmedMsg(epoch, confirmedAt, 0))
 		o.Restore(w.store.jobs())
 		o.RestoreWorkers(w.store.entries[WorkersKey])
 		o.Handle(w.now, w.operator.documents())
