--- a/scheduler/explore_test.go
+++ b/scheduler/explore_test.go
@@ -11,7 +11,7 @@
 
 const (
 	// exploreFirst and exploreCount are the seeds of each plain run of the tests,
-	// and as many extended worlds.
+	// and as many extended and isolated worlds.
 	exploreFirst = 101
 	exploreCount = 50
 )
@@ -42,6 +42,7 @@
 	if os.Getenv("EXPLORE_FROM") == "" {
 		exploreSeeds(t, exploreFirst, exploreCount)
 		exploreSeeds(t, exploreExtended+exploreFirst, exploreCount)
+		exploreSeeds(t, exploreIsolated+exploreFirst, exploreCount)
 		return
 	}
 	exploreSeeds(t, exploreSetting(t, "EXPLORE_FROM", exploreFirst), exploreSetting(t, "EXPLORE_SEEDS", exploreCount))
