--- a/scheduler/explore_isolation_test.go
+++ b/scheduler/explore_isolation_test.go
@@ -252,7 +252,7 @@
 }
 
 // release pauses the owner until its leases are settled or the time has come, and
-// ends it. Another host claims then.
+// ends it. Another host claims then. After the last fault the owner goes on.
 func (o *modelOwner) release(until time.Time) {
 	w := o.world
 	if o.dead || o.Scheduler == nil {
@@ -262,6 +262,10 @@
 		w.after(o.frozenUntil.Sub(w.now), func() { o.release(until) })
 		return
 	}
+	if w.calm {
+		o.Handle(w.now, NewPauseMsg(false))
+		return
+	}
 	o.Handle(w.now, NewPauseMsg(true))
 	if !o.Settled(w.now) && w.now.Before(until) {
 		w.after(5*time.Millisecond, func() { o.release(until) })
