--- a/scheduler/explore_owner_test.go
+++ b/scheduler/explore_owner_test.go
@@ -235,7 +235,7 @@
 		o.queues[id] = q
 	}
 	if !q.add(c) {
-		o.handle(orderResult(c, 0, ErrNotSent))
+		o.handle(orderResult(c, 0, ErrNotSent, false))
 	}
 	o.sendNext(q)
 }
@@ -262,7 +262,7 @@
 	}
 	finish := func(clock int64, err error) {
 		q.done()
-		o.handle(orderResult(c, clock, err))
+		o.handle(orderResult(c, clock, err, d.unconfirmed != nil))
 		o.sendNext(q)
 	}
 	timeout, err := d.begin(w.now)
@@ -299,11 +299,11 @@
 	return s.order.to, s.order.permit
 }
 
-func orderResult(c Command, clock int64, err error) Msg {
+func orderResult(c Command, clock int64, err error, unanswered bool) Msg {
 	if s, ok := c.(StopCmd); ok {
 		return StoppedMsg{order: s.order, clock: clock, err: err}
 	}
-	return StartedMsg{order: c.(StartCmd).order, clock: clock, err: err}
+	return StartedMsg{order: c.(StartCmd).order, clock: clock, err: err, unanswered: unanswered}
 }
 
 func (o *modelOwner) poll(p PollOrder) {
