--- a/election/release_test.go
+++ b/election/release_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/matryer/is"
 
+	"chervilhollow/order"
 	"chervilhollow/storage"
 	"chervilhollow/timers"
 )
@@ -57,3 +58,35 @@
 	a.Release(context.Background(), epoch)
 	is.NoErr(store.revoked)
 }
+
+// Guards against a release that overwrites the record of a later owner.
+func TestReleaseKeepsRecordOfLaterOwner(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	store := storage.NewMemory(timers.New())
+	a := newElector("10.0.0.1:7000/a", store)
+	stop := run(a)
+	acquired := waitAcquired(t, a)
+	stop()
+	_, err := store.Swap(ctx, ownerKey, acquired.Record().Version(), []byte("a later owner"), 0)
+	is.NoErr(err)
+	a.Release(ctx, acquired.Epoch())
+	stored, err := store.Get(ctx, ownerKey)
+	is.NoErr(err)
+	is.Equal(string(stored.Value()), "a later owner")
+}
+
+// Guards against a release that makes the owner seem silent before its lease is revoked.
+func TestReleasedRecordIsNoSilence(t *testing.T) {
+	is := is.New(t)
+	owner := order.MemberID("10.0.0.1:7000/a")
+	record := order.OwnerRecord{}.WithMember(owner).WithEpoch(1)
+	e := newElector("10.0.0.2:7000/b", storage.NewMemory(timers.New()))
+	e.HandleOwner(order.OwnerMsg{}.WithMember(owner).WithEpoch(1))
+	before := e.lastHeartbeatAt
+	value, err := record.WithReleased(true).MarshalCBOR()
+	is.NoErr(err)
+	e.applyEntry(storage.NewEntry(ownerKey, value, 2), false)
+	is.Equal(e.lastHeartbeatAt, before)
+	is.True(e.owner.Released())
+}
