--- a/entryhost/cell.go
+++ b/entryhost/cell.go
@@ -64,12 +64,14 @@
 // stopped the cell that ran before.
 func (h *Host) startCell(e election.AcquiredEvent) {
 	h.stopCell()
-	if h.stopping.Load() {
-		return
-	}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	h.mu.Lock()
+	if h.stopping.Load() {
+		h.mu.Unlock()
+		cancel()
+		return
+	}
 	h.cancelCell, h.cellDone = cancel, done
 	h.mu.Unlock()
 	go func() {
