--- a/scheduler/driver_test.go
+++ b/scheduler/driver_test.go
@@ -47,7 +47,7 @@
 
 	// errRefused is the error of an order whose connection is refused, as after
 	// the exit of its worker.
-	errRefused = errors.Join(ErrNotSent, ErrNotListening)
+	errRefused = errors.Join(ErrNotSent, ErrConnectionRefused)
 )
 
 func newDriver(t testing.TB, epoch order.Epoch) *driver {
--- a/scheduler/explore_isolation_test.go
+++ b/scheduler/explore_isolation_test.go
@@ -177,7 +177,7 @@
 // refuse gives the owner the error of an order over a refused connection.
 func (c *carriage) refuse() {
 	c.network.world.after(time.Millisecond, func() {
-		c.settle(func() { c.fail(errors.Join(ErrNotSent, ErrNotListening)) })
+		c.settle(func() { c.fail(errors.Join(ErrNotSent, ErrConnectionRefused)) })
 	})
 }
 
--- a/scheduler/explore_worker_test.go
+++ b/scheduler/explore_worker_test.go
@@ -312,5 +312,5 @@
 			return m, nil
 		}
 	}
-	return nil, errors.Join(ErrNotSent, ErrNotListening)
+	return nil, errors.Join(ErrNotSent, ErrConnectionRefused)
 }
--- a/scheduler/journal.go
+++ b/scheduler/journal.go
@@ -292,7 +292,7 @@
 // RestoreWorkers adds the workers that the store lists, on which earlier owners
 // may have started tasks. Their leases may last until formerLeaseEnd.
 // If the list cannot be read, any worker may have such tasks for that long, and
-// the next owner has to know. It is called before the first Handle.
+// the next owner has to know. It is called before the first Decide.
 func (m *Scheduler) RestoreWorkers(e storage.Entry) {
 	m.journal.workersVersion = e.Version()
 	if !e.Exists() {
--- a/scheduler/orders.go
+++ b/scheduler/orders.go
@@ -180,10 +180,10 @@
 	// ErrNotSent reports that no byte of the order left this process.
 	ErrNotSent = errors.New("order not sent")
 
-	// ErrNotListening reports, beside ErrNotSent, that the worker's address
+	// ErrConnectionRefused reports, beside ErrNotSent, that the worker's address
 	// refused the connection. The worker may run on behind a partition that
 	// refuses connections on its behalf.
-	ErrNotListening = errors.New("the address refuses connections")
+	ErrConnectionRefused = errors.New("the address refuses connections")
 
 	resultNames  = [...]string{ResultDone: "done", ResultFailed: "failed", ResultStopped: "stopped", ResultLeaseExpired: "lapsed", ResultGangEnded: "broken", ResultGangTimeout: "alone"}
 	refusalNames = [...]string{
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -449,7 +449,7 @@
 }
 
 // Restore adds the jobs stored by earlier owners. It is called before the first
-// Handle.
+// Decide.
 func (m *Scheduler) Restore(entries []storage.Entry) {
 	for _, e := range entries {
 		r, err := decodeJob(e)
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -19,10 +19,8 @@
 		rack     string
 		draining bool
 
-		// listed reports whether the discovery lists the worker, and discovered
-		// whether that is known in this epoch.
-		listed     bool
-		discovered bool
+		// listed reports whether the discovery lists the worker.
+		listed bool
 
 		// changedAfter is a time after which the entry was last written, and
 		// changedSuspended how long the machine had been suspended then.
@@ -218,7 +216,7 @@
 	if w.storedAddress != "" && w.storedAddress != info.address {
 		m.journal.workersDirty = true
 	}
-	w.info, w.listed, w.discovered, w.draining = info, true, true, info.draining
+	w.info, w.listed, w.draining = info, true, info.draining
 	w.infoStale, w.deletedAt, w.leftAt, w.departed = false, time.Time{}, time.Time{}, false
 	w.rack = rackOf(info.labels)
 	w.updateFree()
@@ -265,11 +263,7 @@
 // removed only when it can have no more runs.
 func (m *Scheduler) markUnlisted(now time.Time, id order.WorkerID) {
 	w := m.workers[id]
-	if w == nil {
-		return
-	}
-	w.discovered = true
-	if !w.listed {
+	if w == nil || !w.listed {
 		return
 	}
 	w.listed = false
@@ -312,8 +306,8 @@
 
 // keepUnreported keeps a run whose start was sent to an earlier incarnation of
 // the worker, and either no report of that one has listed it, or the present one
-// has, or copies of the start are still sent. The present incarnation may have got the start, as a worker checks
-// only its ID.
+// has, or copies of the start may still be executed. The present incarnation may
+// have got the start, as a worker checks only its ID.
 func (m *Scheduler) keepUnreported(now time.Time, a *attempt) {
 	a.stopPermit.withdraw()
 	a.stopConfirmedAt = time.Time{}
@@ -538,7 +532,7 @@
 // until its next report. Only the first of several failures is logged.
 func (m *Scheduler) handlePollError(now time.Time, w *worker, err error) {
 	w.missedCalls++
-	connRefused := errors.Is(err, ErrNotListening)
+	connRefused := errors.Is(err, ErrConnectionRefused)
 	if connRefused && !w.connRefused && w.missedCalls > 1 {
 		m.log.Info().Str("worker", string(w.id)).Bool("listed", w.listed).Int("runs", len(w.attempts)).
 			Uint64("epoch", uint64(m.epoch)).Msg("yard: worker's address refuses connections")
