--- a/soak/client_test.go
+++ b/soak/client_test.go
@@ -152,9 +152,7 @@
 		c.switchHost()
 		time.Sleep(200 * time.Millisecond)
 	}
-	// It is unknown whether the job was cancelled, so it is not checked any
-	// more.
-	c.cluster.platform.SetCancelled(j)
+	c.cluster.platform.SetCancelUncertain(j)
 }
 
 // checkState requests the state of a job and lets the platform check the
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -267,7 +267,7 @@
 func (s *soak) checkStates(c *client) {
 	deadline := time.Now().Add(stateTimeout)
 	for _, j := range c.jobs {
-		if !j.Cancelled.IsZero() {
+		if j.MayBeCancelled() {
 			continue
 		}
 		for {
