--- a/entryhost/settle_test.go
+++ b/entryhost/settle_test.go
@@ -15,7 +15,7 @@
 	"chervilhollow/timers"
 )
 
-// Guards against a planned stop that doesn't tell of settled leases, and against a sudden one that does.
+// Guards against a planned stop that doesn't return its settled leases, and against a sudden one that does.
 func TestOnlyPausedCellEndsSettled(t *testing.T) {
 	for name, planned := range map[string]bool{"planned": true, "sudden": false} {
 		t.Run(name, func(t *testing.T) {
--- a/scheduler/exit_evidence_test.go
+++ b/scheduler/exit_evidence_test.go
@@ -41,11 +41,12 @@
 	}
 }
 
-// answerPollIfOpen fails the open poll of the worker, if there is one.
-func (r drainedRun) answerPollIfOpen(err error) {
+// failPolls fails each poll of the worker for a while.
+func (r drainedRun) failPolls() {
 	r.t.Helper()
-	if _, open := r.openPoll(map[order.WorkerID]bool{r.id: true}); open {
-		r.failPoll(r.id, err)
+	for range 4 {
+		r.failOpenPoll(r.id, errCut)
+		r.advance(300 * time.Millisecond)
 	}
 }
 
@@ -54,10 +55,10 @@
 	r := newDrainedRun(t)
 	r.advance(500 * time.Millisecond)
 	r.feed(deletion(r.id))
-	r.answerPollIfOpen(errCut)
+	r.failOpenPoll(r.id, errCut)
 	r.advance(300 * time.Millisecond)
 	r.unconfirmed = true
-	r.answerPollIfOpen(errCut) // sent after the deletion: counts as an exit
+	r.failOpenPoll(r.id, errCut) // sent after the deletion: counts as an exit
 	r.advance(20 * time.Millisecond)
 	r.list(true)
 	r.advance(2 * pollDelay)
@@ -73,7 +74,7 @@
 	r.advance(500 * time.Millisecond)
 	r.feed(deletion(r.id))
 	for range 4 {
-		r.answerPollIfOpen(NewRefusedError(RefusedBusy, 0))
+		r.failOpenPoll(r.id, NewRefusedError(RefusedBusy, 0))
 		r.advance(300 * time.Millisecond)
 	}
 	r.noSecondRun()
@@ -88,7 +89,7 @@
 	r.answerPollWith(r.id, NewReport(20, 2, r.running, nil)) // life 2 executed a later copy of the start
 	for range 3 {
 		r.advance(300 * time.Millisecond)
-		r.answerPollIfOpen(errCut)
+		r.failOpenPoll(r.id, errCut)
 	}
 	r.noSecondRun()
 }
@@ -103,10 +104,7 @@
 	r.answerStart(s, errCut)
 	r.advance(300 * time.Millisecond)
 	r.feed(deletion(r.id))
-	for range 4 {
-		r.answerPollIfOpen(errCut)
-		r.advance(300 * time.Millisecond)
-	}
+	r.failPolls()
 	r.noSecondRun()
 }
 
@@ -118,10 +116,7 @@
 	r.m.Handle(r.now, deletion(r.id)) // the order of the inputs in Runner.Run
 	r.m.Handle(r.now, SuspendedMsg{total: 5 * time.Second})
 	r.decide()
-	for range 4 {
-		r.answerPollIfOpen(errCut)
-		r.advance(300 * time.Millisecond)
-	}
+	r.failPolls()
 	r.noSecondRun()
 }
 
@@ -132,10 +127,7 @@
 	r.m.Handle(r.now, SuspendedMsg{total: 1500 * time.Millisecond})
 	r.advance(20 * time.Millisecond) // the store confirms the ownership
 	r.feed(deletion(r.id))
-	for range 4 {
-		r.answerPollIfOpen(errCut)
-		r.advance(300 * time.Millisecond)
-	}
+	r.failPolls()
 	r.noSecondRun()
 }
 
@@ -146,10 +138,7 @@
 	r.feed(NewWorkersMsg(nil, []order.WorkerID{r.id}, false))
 	r.advance(200 * time.Millisecond)
 	r.feed(deletion(r.id))
-	for range 4 {
-		r.answerPollIfOpen(errCut)
-		r.advance(300 * time.Millisecond)
-	}
+	r.failPolls()
 	r.noSecondRun()
 }
 
@@ -172,9 +161,6 @@
 	r.advance(500 * time.Millisecond)
 	r.feed(deletion(r.id))
 	r.list(true)
-	for range 4 {
-		r.answerPollIfOpen(errCut)
-		r.advance(300 * time.Millisecond)
-	}
+	r.failPolls()
 	r.noSecondRun()
 }
--- a/scheduler/exit_test.go
+++ b/scheduler/exit_test.go
@@ -141,52 +141,40 @@
 func (d *driver) refuseUntil(id order.WorkerID, err error, end time.Time) {
 	d.t.Helper()
 	for d.now.Add(feedInterval + 20*time.Millisecond).Before(end) {
-		if _, open := d.openPoll(map[order.WorkerID]bool{id: true}); open {
-			d.failPoll(id, err)
-		}
+		d.failOpenPoll(id, err)
 		d.advance(20 * time.Millisecond)
 	}
 }
 
+// failOpenPoll answers the poll of the worker with the error, if one is open.
+func (d *driver) failOpenPoll(id order.WorkerID, err error) {
+	d.t.Helper()
+	if _, open := d.openPoll(map[order.WorkerID]bool{id: true}); open {
+		d.failPoll(id, err)
+	}
+}
+
 // Guards against a second run on behalf of a draining worker that reports after its entry was deleted.
 func TestWorkerThatReportsAfterItsDeletionHasNotLeft(t *testing.T) {
-	d := newDriverWithJob(t, []order.WorkerID{"w1", "w2"}, smallStep(1))
-	s, ok := d.takeStart()
-	d.is.True(ok)
-	d.answerStart(s, nil)
-	id := s.order.to.worker
-	running := []RunningTask{NewRunningTask(s.order.task, 1, "", 10)}
-	d.feed(NewWorkersMsg([]WorkerInfo{workerInfo(id, 1).WithIncarnation(1, true)}, nil, false).WithChangedAfter(d.now.Add(feedInterval), 0))
-	d.answerPoll(id, running, nil)
-	d.advance(2 * time.Second)
-	d.feed(deletion(id))
+	r := newDrainedRun(t)
+	r.advance(2 * time.Second)
+	r.feed(deletion(r.id))
 	for range 3 {
-		d.answerPoll(id, running, nil)
-		d.advance(100 * time.Millisecond)
-	}
-	d.failPoll(id, errCut)
-	d.advance(100 * time.Millisecond)
-	if again, started := d.takeStart(); started {
-		t.Errorf("run %d at %s while %s runs", again.order.run, again.order.to.worker, id)
+		r.answerPoll(r.id, r.running, nil)
+		r.advance(100 * time.Millisecond)
 	}
+	r.failPoll(r.id, errCut)
+	r.advance(100 * time.Millisecond)
+	r.noSecondRun()
 }
 
 // Guards against a poll that failed before the deletion of the entry and counts as a sign of the exit.
 func TestFailureBeforeTheDeletionIsNoExit(t *testing.T) {
-	d := newDriverWithJob(t, []order.WorkerID{"w1", "w2"}, smallStep(1))
-	s, ok := d.takeStart()
-	d.is.True(ok)
-	d.answerStart(s, nil)
-	id := s.order.to.worker
-	running := []RunningTask{NewRunningTask(s.order.task, 1, "", 10)}
-	d.feed(NewWorkersMsg([]WorkerInfo{workerInfo(id, 1).WithIncarnation(1, true)}, nil, false).WithChangedAfter(d.now.Add(feedInterval), 0))
-	d.answerPoll(id, running, nil)
-	d.advance(2 * time.Second)
-	d.failPoll(id, errCut)
-	d.advance(2 * pollRetryDelay) // the next poll is under way
-	d.feed(deletion(id))
-	d.advance(100 * time.Millisecond)
-	if again, started := d.takeStart(); started {
-		t.Errorf("run %d at %s while %s runs, and its poll is open", again.order.run, again.order.to.worker, id)
-	}
+	r := newDrainedRun(t)
+	r.advance(2 * time.Second)
+	r.failPoll(r.id, errCut)
+	r.advance(2 * pollRetryDelay) // the next poll is under way
+	r.feed(deletion(r.id))
+	r.advance(100 * time.Millisecond)
+	r.noSecondRun()
 }
